--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,112 @@
+"""Short ways to build settings and events for the tests; no behaviour of a fleet is modelled here."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from walnutpost import interface as api
+from walnutpost.rules import Router
+
+SECOND = 1_000_000
+KEEP = 10 * SECOND
+
+SAFE = api.RequestClass(SECOND, 3 * SECOND, 1.0, 0.2, api.Effect.SAFE, api.Group.ALL, 0, False, 0.0)
+UNSAFE = replace(SAFE, worth=2.0, effect=api.Effect.UNSAFE)
+KEYED = replace(SAFE, effect=api.Effect.KEYED, group=api.Group.ZONE, window=SECOND)
+SETTINGS = api.Settings(
+    classes=(SAFE, UNSAFE, KEYED),
+    tenants=(),
+    limits=api.Limits(True, False, True, True, 5, SECOND),
+    guards=api.Guards(16_000, SECOND, 16 * SECOND, 0.2, 4.0, SECOND, 0, 0.0, 0.0, 0),
+    prices=api.Prices(0.0, 0.05, 0.01, 0.05, 0.03, 0.05),
+    zone=0,
+    front_ends=2,
+    tick=4_000,
+    keep_alive=KEEP,
+    order_timeout=10 * SECOND,
+    may_load=True,
+    loads_on_miss=False,
+    tells_warmth=True,
+    tells_crowd=False,
+    must_ask_list=False,
+    weighted=False,
+    worth_by_work=False,
+    over_share_worth=0.1,
+    report_fields=(),
+    memory_by_kind=(),
+)
+
+
+def worker(wid: int, state: api.WorkerState = api.WorkerState.READY, started: int = 0, zone: int = 0) -> Any:
+    return api.Worker(wid, zone, 0, zone, state, 1.0, started)
+
+
+class Rig:
+    """A router with some ready workers, and the actions of its last event."""
+
+    def __init__(self, workers: int = 4, settings: api.Settings = SETTINGS, seed: int = 1) -> None:
+        self.now = 100 * SECOND
+        self.router = Router(settings, seed)
+        self.actions: list[api.Action] = []
+        self.all: list[api.Action] = []
+        self._next = 0
+        self.listed(api.ListKind.CACHED, *(worker(i) for i in range(1, workers + 1)))
+
+    def feed(self, event: api.Event) -> list[api.Action]:
+        self.actions = self.router.handle(self.now, event)
+        self.all += self.actions
+        return self.actions
+
+    def listed(self, kind: api.ListKind, *workers: api.Worker) -> list[api.Action]:
+        return self.feed(api.WorkersListed(kind, 1, workers))
+
+    def ask(self, function: int = 7, cls: int = 0, left: int = 3 * SECOND, lanes: float = 2) -> int:
+        self._next += 1
+        self.feed(
+            api.RequestArrived(self._next, cls, 0, function, left, None, 300.0, lanes, SECOND // 2, False)
+        )
+        return self._next
+
+    def ended(
+        self,
+        request: int,
+        attempt: int,
+        worker: int,
+        outcome: api.Outcome = api.Outcome.OK,
+        latency: int = 100_000,
+        warmth: api.Warmth = api.Warmth.STOOD,
+    ) -> list[api.Action]:
+        ok = outcome is api.Outcome.OK
+        return self.feed(api.AttemptEnded(request, attempt, worker, outcome, latency, ok, warmth, 0, ()))
+
+    def held(
+        self, worker: int, copies: int = 1, function: int = 7, outcome: api.Outcome = api.Outcome.OK
+    ) -> list[api.Action]:
+        return self.feed(api.HoldEnded(worker, function, outcome, 500_000, copies))
+
+    def pass_time(self, span: int, step: int = 20_000) -> list[api.Action]:
+        """Lets the clock run with nothing but timers; returns all that was done meanwhile."""
+        done: list[api.Action] = []
+        end = self.now + span
+        while self.now < end:
+            self.now += step
+            done += self.feed(api.TimerDue(1))
+        return done
+
+    def warm(self, *workers: int, function: int = 7) -> None:
+        """Makes the router believe in copies on these workers."""
+        request = self.ask(function)
+        for wid in workers:
+            self.held(wid, function=function)
+        sent = next(s for s in of(api.Send, self.all) if s.request == request)
+        self.ended(request, 0, sent.worker)
+
+
+def of(kind: Any, actions: list[api.Action]) -> list[Any]:
+    return [a for a in actions if isinstance(a, kind)]
+
+
+def orders(actions: list[api.Action]) -> list[api.Hold]:
+    """Hold orders that count, not mere questions."""
+    return [a for a in of(api.Hold, actions) if a.copies > 0]
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,251 @@
+"""The wire, from byte samples laid out by the protocol's tables; and the host around the routers."""
+
+from __future__ import annotations
+
+import io
+import json
+import struct
+from typing import Any
+
+import pytest
+
+from walnutpost import interface as api
+from walnutpost import rules
+from walnutpost.adapter import codec, host
+
+FACTS: dict[str, Any] = {
+    "Profiles": [
+        {"Aim": 1000000, "HardLimit": 2500000, "Idempotency": "free", "Importance": 1.0, "Unheard": 3},
+        {
+            "Aim": 1000000,
+            "HardLimit": 2500000,
+            "Idempotency": "guarded",
+            "Importance": 2.0,
+            "DedupScope": "zone",
+        },
+    ],
+    "PolicyLimits": {"MaxAttempts": 5, "ParallelTries": True},
+    "Extra": {"MayLoad": True, "WhenAbsent": "miss", "KeepAlive": 8000000, "FreeLoads": 6.0},
+    "Reporting": {"Fields": ["utilization", "x0", "novelty"], "How": "answers"},
+    "Quantum": 4000,
+    "SomethingNew": [1, 2],
+}
+
+
+def record(code: int, layout: str, *values: Any) -> bytes:
+    fields = struct.pack("<" + layout, *values)
+    return struct.pack("<BI", code, len(fields)) + fields
+
+
+def batch(*records: bytes, clock: int = 6_052_954, number: int = 12, count: int | None = None) -> bytes:
+    body = b"".join(records)
+    told = len(records) if count is None else count
+    return struct.pack("<IIQI", told, 12 + len(body), clock, number) + body
+
+
+def started(instance: int = 3, facts: Any = None) -> bytes:
+    text = json.dumps(FACTS if facts is None else facts).encode()
+    return record(11, f"IQI{len(text)}s", instance, 99, len(text), text)
+
+
+def table(bank: int, *workers: int) -> bytes:
+    rows = b"".join(struct.pack("<IHHHBfQ", w, 1, 2, 3, 2, 1.5, 4) for w in workers)
+    return record(3, f"BI{len(rows)}s", bank, len(workers), rows)
+
+
+def update(bank: int, kind: int = 1, instance: int = 3) -> bytes:
+    return record(8, "IBQB", instance, kind, 41, bank)
+
+
+def request(rid: int = 77, flags: int = 1, instance: int = 3) -> bytes:
+    return record(4, "IQBHQIIfffB", instance, rid, 0, 0, 9, 2_500_000, 12_000, 384.0, 2.0, 700.5, flags)
+
+
+def decode(*records: bytes) -> list[codec.Incoming]:
+    data = batch(*records)
+    header = codec.read_header(data[:20])
+    return [event for _, event in codec.Decoder().records(header, data[20:])]
+
+
+def serve(*batches: bytes) -> tuple[int, bytes]:
+    sink = io.BytesIO()
+    code = host.serve(io.BytesIO(b"".join(batches)), sink)
+    return code, sink.getvalue()
+
+
+def replies(data: bytes) -> list[tuple[int, list[tuple[int, bytes]]]]:
+    found = []
+    while data:
+        length, number = struct.unpack_from("<II", data)
+        body, data = data[8 : 4 + length], data[4 + length :]
+        records = []
+        while body:
+            code, size = struct.unpack_from("<BI", body)
+            records.append((code, body[5 : 5 + size]))
+            body = body[5 + size :]
+        found.append((number, records))
+    return found
+
+
+def test_empty_batch_and_its_reply() -> None:
+    incoming = bytes.fromhex("000000000c0000005a5c80000000000001000000")
+    assert serve(incoming) == (0, bytes.fromhex("0400000001000000"))
+
+
+def test_request_fields() -> None:
+    (event,) = decode(request())
+    assert event == api.RequestArrived(77, 0, 0, 9, 2_500_000, 12_000, 384.0, 2.0, 700_500, False)
+    (event,) = decode(request(flags=2))
+    assert isinstance(event, api.RequestArrived) and event.cost_hint is None and event.repeat
+
+
+@pytest.mark.parametrize(("wire", "outcome"), list(codec.OUTCOMES.items()))
+def test_ended_fields(wire: int, outcome: api.Outcome) -> None:
+    note = 2 + 8 * 5
+    (event,) = decode(record(5, "IQHIHIBBBff", 3, 77, 1, 8, wire, 900, 1, note, 2, 0.25, 0.5))
+    assert event == api.AttemptEnded(77, 1, 8, outcome, 900, True, api.Warmth.BEGAN_LOAD, 5, (0.25, 0.5))
+
+
+def test_other_events() -> None:
+    assert decode(
+        record(1, "IQHII", 3, 77, 0, 8, 500),
+        record(2, "II", 3, 4),
+        record(6, "IIHIBf", 3, 8, 200, 700, 1, 0.5),
+        record(7, "IIH3s", 3, 2, 3, b"hi!"),
+        record(9, "I", 3),
+        record(10, "IIQHIB", 3, 8, 9, 503, 640, 2),
+        record(12, "IQ", 3, 77),
+    ) == [
+        api.AnswerStarted(77, 0, 8, 500),
+        api.TimerDue(4),
+        api.ProbeEnded(8, api.Outcome.OK, 700, (0.5,)),
+        api.PeerSaid(2, b"hi!"),
+        codec.Stopped(),
+        api.HoldEnded(8, 9, api.Outcome.FULL, 640, 2),
+        api.RequestGone(77),
+    ]
+
+
+def test_list_numbers_are_resolved_in_event_order() -> None:
+    first, second, failed = decode(table(0, 5), update(0), table(0, 6, 7), update(0, 3), update(9, 0))
+    assert isinstance(first, api.WorkersListed) and isinstance(second, api.WorkersListed)
+    assert [w.id for w in first.workers] == [5] and first.kind is api.ListKind.CACHED
+    assert [w.id for w in second.workers] == [6, 7] and second.kind is api.ListKind.FULL
+    assert first.workers[0] == api.Worker(5, 1, 2, 3, api.WorkerState.READY, 1.5, 4)
+    assert failed == api.WorkersListed(api.ListKind.FAILED, 41, ())
+
+
+@pytest.mark.parametrize(
+    ("action", "code", "layout", "values"),
+    [
+        (api.Send(77, 8, 500), 1, "IQII", (3, 77, 8, 500)),
+        (api.Refuse(77, 250), 2, "IQI", (3, 77, 250)),
+        (api.Fail(77), 3, "IQ", (3, 77)),
+        (api.Cancel(77, 2), 4, "IQH", (3, 77, 2)),
+        (api.SetTimer(900, 1), 5, "III", (3, 900, 1)),
+        (api.Probe(8), 6, "II", (3, 8)),
+        (api.CloseIdle(8), 7, "II", (3, 8)),
+        (api.Log("why"), 9, "IH3s", (3, 3, b"why")),
+        (api.FollowList(True), 11, "IB", (3, 1)),
+        (api.ReadList(), 12, "I", (3,)),
+        (api.Hold(8, 9, 2), 13, "IIQB", (3, 8, 9, 2)),
+        (api.Unload(8, 9), 14, "IIQ", (3, 8, 9)),
+    ],
+)
+def test_action_bytes(action: api.Action, code: int, layout: str, values: tuple[Any, ...]) -> None:
+    assert codec.encode_action(3, action) == record(code, layout, *values)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        batch(request())[:-1],
+        batch(request())[:10],
+        batch(count=1),
+        batch(request(), count=0),
+        batch(struct.pack("<BI", 4, 900) + b"xx"),
+        batch(record(4, "IQ", 3, 77)),
+        batch(record(77, "I", 3)),
+        batch(record(5, "IQHIHIBBB", 3, 77, 1, 8, 418, 900, 1, 0, 0)),
+        batch(record(5, "IQHIHIBBBf", 3, 77, 1, 8, 200, 900, 1, 0, 2, 0.5)),
+        batch(record(3, "BI", 0, 2)),
+        batch(update(4)),
+        batch(record(7, "IIH", 3, 2, 3)),
+        batch(request(instance=8)),
+        struct.pack("<IIQI", 0, 3, 1, 1),
+    ],
+)
+def test_malformed_input_is_one_plain_line_and_a_failing_exit(
+    data: bytes, capsys: pytest.CaptureFixture[str]
+) -> None:
+    code, _ = serve(batch(started(), number=1), data)
+    told = capsys.readouterr().err
+    assert code == 1
+    assert told.startswith("walnutpost adapter: ") and told.count("\n") == 1
+
+
+def test_unknown_instance_and_code_are_named(capsys: pytest.CaptureFixture[str]) -> None:
+    serve(batch(request(instance=8)))
+    assert "instance 8" in capsys.readouterr().err
+    serve(batch(started(), record(77, "I", 3)))
+    assert "batch 12, record 1, code 77" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("key", ["Profiles", "PolicyLimits"])
+def test_missing_setting_is_named_through_the_fault(key: str) -> None:
+    facts = {k: v for k, v in FACTS.items() if k != key}
+    code, out = serve(batch(started(facts=facts), request()), batch(request()))
+    ((_, records), (_, later)) = replies(out)
+    assert code == 0 and not later
+    assert [r[0] for r in records] == [10] and f"setting {key} is missing".encode() in records[0][1]
+
+
+def test_nested_missing_setting_is_named_in_full() -> None:
+    facts = json.loads(json.dumps(FACTS))
+    del facts["Profiles"][1]["HardLimit"]
+    with pytest.raises(codec.SettingsError, match=r"Profiles\[1\]\.HardLimit is missing"):
+        codec.parse_settings(json.dumps(facts).encode())
+
+
+def test_settings_are_read_and_unknown_ones_skipped() -> None:
+    told = codec.parse_settings(json.dumps(FACTS).encode())
+    assert told.classes[1].effect is api.Effect.KEYED and told.classes[1].group is api.Group.ZONE
+    assert told.keep_alive == 8_000_000 and told.may_load and not told.loads_on_miss
+    assert told.report_fields == ("busy", "memory_tied", "novelty")
+    assert told.guards.load_window == 0 and told.tenants == ()
+
+
+def test_exception_becomes_a_fault_with_its_place(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    def broken(*_: object) -> list[api.Action]:
+        raise ValueError("no such luck")
+
+    monkeypatch.setattr(rules.Router, "handle", broken)
+    _, out = serve(batch(started(), request()))
+    ((_, records),) = replies(out)
+    assert records[0][0] == 10
+    assert b"ValueError: no such luck at test_adapter.py" in records[0][1]
+    assert "Traceback" in capsys.readouterr().err
+
+
+def test_kill_and_restart_within_a_batch_starts_empty() -> None:
+    stop = record(9, "I", 3)
+    code, out = serve(
+        batch(started(), table(0, 5, 6), update(0), request(1), number=1),
+        batch(stop, started(), table(0, 5, 6), update(0), request(2), number=2),
+        batch(record(12, "IQ", 3, 1), number=3),
+    )
+    answered = replies(out)
+    assert code == 0 and [n for n, _ in answered] == [1, 2, 3]
+    assert [r[0] for r in answered[1][1]].count(13) == 1
+    assert not answered[2][1]
+
+
+def test_instances_do_not_influence_each_other() -> None:
+    alone = batch(started(), table(0, 5, 6), update(0), request(1))
+    other = [update(0, instance=4), request(9, instance=4)]
+    crowd = batch(started(), started(4), table(0, 5, 6), update(0), *other, request(1))
+    mine = [r for r in replies(serve(alone)[1])[0][1] if r[1][:4] == b"\x03\0\0\0"]
+    theirs = [r for r in replies(serve(crowd)[1])[0][1] if r[1][:4] == b"\x03\0\0\0"]
+    assert mine and mine == theirs
--- /dev/null
+++ b/tests/test_defences.py
@@ -0,0 +1,188 @@
+"""One small test for each failure found; each was seen to fail without its defence."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from tests.rig import SECOND, SETTINGS, Rig, of, orders
+from tests.test_mechanism import first_in_order
+from walnutpost import interface as api
+
+Outcome = api.Outcome
+
+
+def asks(actions: list[api.Action]) -> list[api.Hold]:
+    return [a for a in of(api.Hold, actions) if a.copies == 0]
+
+
+def test_stale_wakes_do_not_multiply() -> None:
+    """Days stalled: each fired wake left another behind, and their number grew without end."""
+    rig = Rig(settings=replace(SETTINGS, may_load=False))
+    for _ in range(20):
+        rig.now += 1_000
+        rig.ask()
+    assert len(of(api.SetTimer, rig.pass_time(2 * SECOND, step=4_000))) < 400
+
+
+def test_silent_worker_is_asked_then_set_aside_and_safe_work_moves() -> None:
+    rig = Rig()
+    rig.warm(1, 2)
+    safe, unsafe = rig.ask(), rig.ask(cls=1)
+    at = {s.request: s.worker for s in of(api.Send, rig.all)}
+    rig.ended(unsafe, 0, at[unsafe])
+    done = rig.pass_time(900_000, step=4_000)
+    assert at[safe] in {a.worker for a in asks(done)}
+    moved = [s for s in of(api.Send, done) if s.request == safe]
+    assert [s.worker for s in moved] == [at[unsafe]]
+    rig.ask()
+    assert {s.worker for s in of(api.Send, rig.actions)} <= {at[unsafe]}
+
+
+def test_unsafe_work_on_a_silent_worker_is_not_sent_again() -> None:
+    rig = Rig()
+    rig.warm(1, 2)
+    rid = rig.ask(cls=1)
+    done = rig.pass_time(3 * SECOND, step=4_000)
+    assert not [s for s in of(api.Send, done) if s.request == rid]
+    assert of(api.Fail, done) == [api.Fail(rid)]
+
+
+def test_load_in_progress_is_not_silence() -> None:
+    """A hold order is answered when the load ends; only a question must be answered at once."""
+    rig = Rig(workers=2)
+    rig.warm(1, 2)
+    rig.ask()
+    sent = of(api.Send, rig.actions)[0]
+    rig.ask(function=8)
+    for _ in range(300):
+        rig.now += 4_000
+        for ask in asks(rig.feed(api.TimerDue(1))):
+            rig.feed(api.HoldEnded(ask.worker, ask.function, Outcome.OK, 1_000, 1))
+    rig.ended(1, 0, sent.worker)
+    rig.ask()
+    assert of(api.Send, rig.actions)
+
+
+def test_no_more_than_half_of_the_workers_are_set_aside() -> None:
+    rig = Rig(workers=4)
+    rig.warm(1, 2, 3, 4)
+    for _ in range(8):
+        rig.ask(cls=1)
+    assert {a.worker for a in asks(rig.pass_time(SECOND, step=4_000))} == {1, 2, 3, 4}
+    known = rig.router._workers.values()
+    assert len([w for w in known if w.silent_since is not None]) == 2
+
+
+def test_worker_back_from_silence_serves_again() -> None:
+    rig = Rig(workers=2)
+    rig.warm(1, 2)
+    rid = rig.ask()
+    lost = of(api.Send, rig.actions)[0].worker
+    rig.pass_time(SECOND, step=4_000)
+    rig.ended(rid, 1, 3 - lost)
+    rig.feed(api.HoldEnded(lost, 7, Outcome.OK, 1_000, 1))
+    chosen = {s.worker for _ in range(4) for s in of(api.Send, _ask(rig))}
+    assert chosen == {1, 2}
+
+
+def _ask(rig: Rig) -> list[api.Action]:
+    rig.ask()
+    return rig.actions
+
+
+def test_failed_order_is_not_repeated_at_once_nor_there() -> None:
+    rig = Rig()
+    rig.ask()
+    first = orders(rig.actions)[0].worker
+    assert not orders(rig.held(first, copies=0, outcome=Outcome.ERROR))
+    again = orders(rig.pass_time(SECOND, step=4_000))
+    assert again and again[0].worker == first_in_order()[1]
+
+
+def test_miss_voids_the_belief_and_loads_again() -> None:
+    rig = Rig()
+    rig.warm(1)
+    rid = rig.ask(cls=1)
+    actions = rig.ended(rid, 0, 1, Outcome.MISS, warmth=api.Warmth.UNTOLD)
+    assert not of(api.Send, actions) and orders(actions)
+    assert [s.request for s in of(api.Send, rig.held(orders(actions)[0].worker))] == [rid]
+
+
+def test_refusals_begin_with_the_backlog_and_take_the_least_worth_first() -> None:
+    """On overloaded days everything was late; then a loop on late answers swung with a ten second period."""
+    rig = Rig(workers=2)
+    rig.warm(1, 2)
+    open_requests: list[tuple[int, int]] = []
+    refused: list[int] = []
+    for n in range(600):
+        rig.now += 5_000
+        rid = rig.ask(cls=n % 2)
+        if of(api.Refuse, rig.actions):
+            refused.append(n % 2)
+        open_requests += [(s.request, s.worker) for s in of(api.Send, rig.actions)]
+        if n % 4 and open_requests:
+            done, where = open_requests.pop(0)
+            rig.ended(done, 0, where, latency=SECOND)
+        assert rid
+    assert len(refused) > 60
+    assert refused.count(0) > 4 * refused.count(1)
+
+
+def test_no_refusal_in_the_first_seconds_of_a_front_end() -> None:
+    """After a restart the rate of answers looked small, and ordinary traffic was refused."""
+    rig = Rig(workers=4)
+    rig.warm(1, 2, 3, 4)
+    queue: list[tuple[int, int]] = []
+    for _ in range(100):
+        rig.now += 10_000
+        rig.ask(left=3 * SECOND)
+        assert not of(api.Refuse, rig.actions)
+        queue += [(s.request, s.worker) for s in of(api.Send, rig.actions)]
+        if len(queue) > 20:
+            done, where = queue.pop(0)
+            rig.ended(done, 0, where, latency=200_000)
+
+
+def test_slow_worker_loses_traffic_its_copy_does_not_count() -> None:
+    rig = Rig(workers=3)
+    rig.warm(1, 2)
+    for _ in range(40):
+        rig.now += 50_000
+        rid = rig.ask()
+        for s in of(api.Send, rig.actions):
+            rig.ended(rid, 0, s.worker, latency=900_000 if s.worker == 1 else 100_000)
+    chosen = [s.worker for _ in range(2) for s in of(api.Send, _ask(rig))]
+    assert chosen == [2, 2]
+    other = Rig(workers=3)
+    other.warm(1, 2)
+    for _ in range(40):
+        other.now += 50_000
+        rid = other.ask()
+        for s in of(api.Send, other.actions):
+            other.ended(rid, 0, s.worker, latency=900_000 if s.worker == 1 else 100_000)
+    other.listed(api.ListKind.DELTA, replace(_worker(2), state=api.WorkerState.GONE))
+    other.ask()
+    assert of(api.Send, other.actions)[0].worker == 1
+    assert [o.worker for o in orders(other.actions)] == [3]
+
+
+def _worker(wid: int) -> api.Worker:
+    return api.Worker(wid, 0, 0, 0, api.WorkerState.READY, 1.0, 0)
+
+
+def test_late_safe_request_gets_one_second_copy_and_an_unsafe_one_none() -> None:
+    for cls, copies in ((0, 1), (1, 0)):
+        rig = Rig(workers=2)
+        rig.warm(1, 2)
+        for _ in range(30):
+            rig.now += 20_000
+            rid = rig.ask()
+            rig.ended(rid, 0, of(api.Send, rig.actions)[0].worker)
+        rid = rig.ask(cls=cls)
+        found: list[api.Send] = []
+        for _ in range(150):
+            rig.now += 4_000
+            for ask in asks(rig.feed(api.TimerDue(1))):
+                rig.feed(api.HoldEnded(ask.worker, ask.function, Outcome.OK, 1_000, 1))
+            found += of(api.Send, rig.actions)
+        assert len([s for s in found if s.request == rid]) == copies
--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,238 @@
+"""The five rules, each at its boundary."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from tests.rig import KEYED, SECOND, SETTINGS, Rig, of, orders, worker
+from walnutpost import interface as api
+
+Outcome = api.Outcome
+MISS_LOADS = replace(SETTINGS, loads_on_miss=True)
+
+
+def finals(actions: list[api.Action]) -> list[api.Action]:
+    return of((api.Refuse, api.Fail), actions)
+
+
+def test_held_request_is_answered_once_just_before_its_own_time_is_up() -> None:
+    rig = Rig()
+    rid = rig.ask(left=SECOND)  # far less than the class's deadline
+    assert not finals(rig.pass_time(SECOND - 8_000, step=4_000))
+    assert finals(rig.pass_time(8_000, step=4_000)) == [api.Refuse(rid, SECOND // 4)]
+    assert not of((api.Send, api.Refuse, api.Fail), rig.pass_time(5 * SECOND))
+
+
+def test_no_time_left_is_refused_at_once() -> None:
+    rig = Rig()
+    rid = rig.ask(left=0)
+    assert finals(rig.actions) == [api.Refuse(rid, SECOND // 4)]
+
+
+def test_no_retry_advice_where_settings_have_none() -> None:
+    rig = Rig(settings=replace(SETTINGS, limits=replace(SETTINGS.limits, retry_after=False)))
+    rid = rig.ask(left=0)
+    assert finals(rig.actions) == [api.Refuse(rid, 0)]
+
+
+def test_nothing_is_sent_after_the_client_left_and_late_outcomes_are_ignored() -> None:
+    rig = Rig()
+    held = rig.ask()
+    rig.feed(api.RequestGone(held))
+    assert not of(api.Send, rig.held(1))
+    rig.feed(api.RequestGone(held))
+    rig.feed(api.RequestGone(999))
+    assert not finals(rig.ended(999, 0, 1)) and not finals(rig.ended(held, 3, 1))
+
+
+def test_answered_request_calls_its_attempts_off() -> None:
+    rig = Rig()
+    rig.warm(1)
+    rid = rig.ask()
+    rig.feed(api.RequestGone(rid))
+    assert of(api.Cancel, rig.actions) == [api.Cancel(rid, 0)]
+    assert not finals(rig.ended(rid, 0, 1, Outcome.CANCELLED))
+
+
+@pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.RESET, Outcome.CANCELLED, Outcome.TIMEOUT])
+def test_unsafe_request_that_may_have_run_is_failed_and_never_sent_again(outcome: Outcome) -> None:
+    rig = Rig()
+    rig.warm(1, 2)
+    rid = rig.ask(cls=1)
+    sent = of(api.Send, rig.actions)[0]
+    actions = rig.ended(rid, 0, sent.worker, outcome)
+    assert finals(actions) == [api.Fail(rid)]
+    assert not of(api.Send, actions + rig.pass_time(3 * SECOND))
+
+
+@pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MISS])
+def test_unsafe_request_that_never_ran_goes_on_elsewhere(outcome: Outcome) -> None:
+    rig = Rig()
+    rig.warm(1, 2)
+    rid = rig.ask(cls=1)
+    sent = of(api.Send, rig.actions)[0]
+    again = of(api.Send, rig.ended(rid, 0, sent.worker, outcome, warmth=api.Warmth.UNTOLD))
+    assert [s.worker for s in again] == [3 - sent.worker]
+
+
+def test_safe_request_goes_on_after_any_failure() -> None:
+    rig = Rig()
+    rig.warm(1, 2)
+    rid = rig.ask()
+    sent = of(api.Send, rig.actions)[0]
+    assert of(api.Send, rig.ended(rid, 0, sent.worker, Outcome.ERROR))
+
+
+def test_attempts_stay_within_the_limit() -> None:
+    rig = Rig(settings=replace(SETTINGS, limits=replace(SETTINGS.limits, max_attempts=2)))
+    rig.warm(1, 2, 3)
+    rid = rig.ask()
+    first = of(api.Send, rig.actions)[0].worker
+    second = of(api.Send, rig.ended(rid, 0, first, Outcome.FULL))[0].worker
+    actions = rig.ended(rid, 1, second, Outcome.FULL)
+    assert not of(api.Send, actions) and finals(actions)
+
+
+def keyed_rig() -> tuple[Rig, int, int]:
+    rig = Rig(workers=0)
+    rig.listed(api.ListKind.FULL, worker(1, zone=0), worker(2, zone=0), worker(3, zone=1))
+    rig.warm(1, 2, 3)
+    while True:
+        rid = rig.ask(cls=2)
+        sent = of(api.Send, rig.actions)[0]
+        if sent.worker != 3:
+            return rig, rid, sent.worker
+
+
+def test_keyed_request_is_repeated_only_in_its_group() -> None:
+    rig, rid, first = keyed_rig()
+    again = of(api.Send, rig.ended(rid, 0, first, Outcome.ERROR))
+    assert [s.worker for s in again if s.request == rid] == [3 - first]
+
+
+@pytest.mark.parametrize(("late", "sends"), [(0, 1), (1, 0)])
+def test_keyed_request_is_not_repeated_after_its_window(late: int, sends: int) -> None:
+    rig, rid, first = keyed_rig()
+    rig.now += KEYED.window + late
+    again = of(api.Send, rig.ended(rid, 0, first, Outcome.ERROR))
+    assert len([s for s in again if s.request == rid]) == sends
+
+
+def test_no_two_attempts_at_once_where_settings_forbid_it() -> None:
+    rig = Rig(settings=replace(SETTINGS, limits=replace(SETTINGS.limits, parallel_tries=False)))
+    rig.warm(1, 2)
+    rid = rig.ask()
+    assert not [s for s in of(api.Send, rig.pass_time(2_900_000)) if s.request == rid]
+
+
+@pytest.mark.parametrize("state", [api.WorkerState.DRAINING, api.WorkerState.GONE])
+def test_leaving_worker_gets_neither_call_nor_order(state: api.WorkerState) -> None:
+    rig = Rig(workers=1)
+    rig.warm(1)
+    rig.listed(api.ListKind.DELTA, worker(1, state))
+    rig.ask()
+    assert not of(api.Send, rig.actions) and not orders(rig.actions + rig.pass_time(SECOND))
+
+
+def test_worker_missing_from_a_full_list_is_gone_and_a_delta_leaves_it() -> None:
+    rig = Rig(workers=2)
+    rig.warm(1, 2)
+    rig.listed(api.ListKind.DELTA, worker(1))
+    assert {of(api.Send, [a])[0].worker for a in _sends(rig, 4)} == {1, 2}
+    rig.listed(api.ListKind.FULL, worker(1))
+    assert {of(api.Send, [a])[0].worker for a in _sends(rig, 4)} == {1}
+    rig.listed(api.ListKind.FAILED)
+    assert {of(api.Send, [a])[0].worker for a in _sends(rig, 4)} == {1}
+
+
+def _sends(rig: Rig, count: int) -> list[api.Send]:
+    found: list[api.Send] = []
+    for _ in range(count):
+        rig.ask(left=SECOND // 2)
+        found += of(api.Send, rig.actions)
+    return found
+
+
+def test_restart_voids_belief_and_limits_sends_while_cold() -> None:
+    rig = Rig(workers=1, settings=replace(MISS_LOADS, may_load=False))
+    rig.warm(1)
+    for n in range(40):  # ten answers a second are what this worker is seen to bear
+        rig.now += SECOND // 10
+        rid = rig.ask()
+        sent = of(api.Send, rig.actions)
+        assert sent, n
+        rig.ended(rid, 0, 1)
+    rig.listed(api.ListKind.DELTA, worker(1, started=rig.now))
+    assert not _sends(rig, 5), "what was sent just before the restart counts too"
+    rig.now += SECOND
+    sent = _sends(rig, 60)
+    # start share 0.2 x multiple 4 x 10 a second x 1 s window bounds the sum of all front ends' parts
+    assert 1 <= len(sent) <= 8
+    rig.now += SECOND // 2
+    assert len(sent) + len(_sends(rig, 60)) <= 8
+    rig.now += 16 * SECOND
+    rig.feed(api.TimerDue(1))
+    assert rig.router._cold_room(rig.router._workers[1])
+
+
+RATIONED = replace(
+    SETTINGS, guards=replace(SETTINGS.guards, free_loads=3.0, load_share=0.5, load_window=10 * SECOND)
+)
+
+
+def test_counted_orders_stay_inside_the_sliding_ration() -> None:
+    rig = Rig(workers=8, settings=RATIONED)
+    given: list[int] = []
+    taken: list[int] = []
+    for n in range(200):
+        rig.now += 37_000
+        taken.append(rig.now)
+        rig.ask(function=n)
+        fresh = orders(rig.actions)
+        while fresh:
+            given.append(rig.now)
+            since = rig.now - 10 * SECOND
+            assert len([t for t in given if t >= since]) <= 3 + 0.5 * len([t for t in taken if t > since])
+            order = fresh.pop()
+            fresh += orders(rig.held(order.worker, function=order.function))
+    assert len(given) > 40
+
+
+def test_with_the_ration_spent_a_load_on_miss_site_sends_straight_to_the_hash_order() -> None:
+    spent = replace(RATIONED, loads_on_miss=True)
+    spent = replace(spent, guards=replace(spent.guards, free_loads=0.0, load_share=0.0))
+    rig = Rig(settings=spent)
+    rig.ask()
+    assert len(of(api.Send, rig.actions)) == 1 and not orders(rig.actions)
+
+
+def test_with_the_ration_spent_a_miss_site_asks_instead_which_does_not_count() -> None:
+    spent = replace(RATIONED, guards=replace(RATIONED.guards, free_loads=0.0, load_share=0.0))
+    rig = Rig(settings=spent)
+    rig.ask()
+    asked = of(api.Hold, rig.actions)
+    assert asked and all(a.copies == 0 for a in asked) and not of(api.Send, rig.actions)
+    assert of(api.Send, rig.held(asked[0].worker, copies=1))
+
+
+def test_absurd_settings_and_requests_get_a_sane_decision() -> None:
+    rig = Rig(workers=0)
+    rid = rig.ask(lanes=0)
+    assert not of(api.Send, rig.actions)
+    assert of(api.Refuse, rig.pass_time(3 * SECOND)) == [api.Refuse(rid, SECOND // 4)]
+    rig.listed(api.ListKind.FULL, worker(1, api.WorkerState.DRAINING))
+    rig.ask()
+    assert not of((api.Send, api.Hold), rig.actions)
+    bare = replace(
+        SETTINGS,
+        guards=api.Guards(0, 0, 0, 0.0, 0.0, 0, 0, 0.0, 0.0, 0),
+        keep_alive=0,
+        order_timeout=0,
+        tick=0,
+        classes=SETTINGS.classes[:1],
+    )
+    odd = Rig(settings=bare)
+    odd.ask(cls=200)
+    assert orders(odd.actions)
--- /dev/null
+++ b/tests/test_mechanism.py
@@ -0,0 +1,136 @@
+"""Each clause of the design page, on the ordinary path."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from tests.rig import KEEP, SECOND, SETTINGS, Rig, of, orders
+from walnutpost import interface as api
+from walnutpost.rules import hash_rank
+
+
+def first_in_order(function: int = 7, workers: int = 4) -> list[int]:
+    return sorted(range(1, workers + 1), key=lambda w: -hash_rank(function, w, 1.0))
+
+
+def test_request_with_nothing_warm_is_held_and_orders_a_load_first_in_hash_order() -> None:
+    rig = Rig()
+    rig.ask()
+    assert not of(api.Send, rig.actions)
+    assert orders(rig.actions) == [api.Hold(first_in_order()[0], 7, 1)]
+
+
+def test_hash_order_is_the_same_at_every_front_end() -> None:
+    places = set()
+    for seed in range(5):
+        rig = Rig(seed=seed)
+        rig.ask()
+        places.add(orders(rig.actions)[0].worker)
+    assert len(places) == 1
+
+
+def home(function: int, heavy: float = 1.0) -> int:
+    return max(range(1, 5), key=lambda w: hash_rank(function, w, heavy if w == 1 else 1.0))
+
+
+def test_hash_order_spreads_functions_over_workers_and_follows_weight() -> None:
+    homes = [home(f) for f in range(400)]
+    assert all(60 < homes.count(w) < 140 for w in range(1, 5))
+    assert [home(f, 3.0) for f in range(400)].count(1) > 1.6 * homes.count(1)
+
+
+def test_one_scale_up_in_flight_sized_from_demand() -> None:
+    rig = Rig()
+    rig.ask()  # held 1 + 1 over 2 lanes: one copy
+    assert len(orders(rig.actions)) == 1
+    for _ in range(4):
+        rig.ask()
+        assert not orders(rig.actions), "a second scale-up began before the first was over"
+    rig.held(first_in_order()[0])
+    # Five were held and left for the copy: 5 in flight + 1 over 2 lanes makes 3, one of which stands.
+    rig.ask()
+    assert len(orders(rig.actions)) == 3  # 6 in flight + 1 over 2 lanes makes 4
+
+
+def test_all_held_requests_leave_for_the_first_copy() -> None:
+    rig = Rig()
+    rids = [rig.ask() for _ in range(5)]
+    sent = of(api.Send, rig.held(first_in_order()[0]))
+    assert [s.request for s in sent] == rids
+    assert {s.worker for s in sent} == {first_in_order()[0]}
+
+
+def test_least_busy_warm_worker_gets_the_request() -> None:
+    rig = Rig()
+    rig.warm(1, 2)
+    first = rig.ask()
+    busy = of(api.Send, rig.actions)[0].worker
+    rig.ask()
+    assert of(api.Send, rig.actions)[0].worker == 3 - busy
+    rig.ended(first, 0, busy)
+    rig.ask()
+    assert of(api.Send, rig.actions)[0].worker == busy
+
+
+def test_ties_break_at_random() -> None:
+    chosen = set()
+    for seed in range(20):
+        rig = Rig(seed=seed)
+        rig.warm(1, 2)
+        rig.ask()
+        chosen.add(of(api.Send, rig.actions)[0].worker)
+    assert chosen == {1, 2}
+
+
+def test_over_target_send_goes_out_at_once_and_starts_the_scale_up() -> None:
+    rig = Rig()
+    rig.warm(1)
+    for _ in range(2):
+        rig.ask()
+        assert of(api.Send, rig.actions) and not orders(rig.actions)
+    rig.ask()
+    assert of(api.Send, rig.actions)[0].worker == 1
+    wanted = orders(rig.actions)
+    assert len(wanted) == 1 and wanted[0].worker != 1  # 3 in flight + 1 over 2 lanes makes 2
+
+
+def test_belief_lapses_after_the_told_keep_alive() -> None:
+    rig = Rig(settings=replace(SETTINGS, keep_alive=KEEP))
+    rig.warm(1)
+    rig.now += KEEP + 1
+    rig.ask()
+    assert not of(api.Send, rig.actions) and orders(rig.actions)
+
+
+def test_copy_in_use_is_renewed_before_it_lapses_and_a_forgotten_one_is_not() -> None:
+    rig = Rig()
+    rig.warm(1)
+    rig.warm(1)
+    kept = orders(rig.pass_time(KEEP))
+    assert kept and all(o.worker == 1 for o in kept)
+    later = Rig()
+    later.warm(1)  # seen once only
+    assert not orders(later.pass_time(KEEP))
+
+
+def test_renewals_end_when_nobody_asks_any_more() -> None:
+    rig = Rig()
+    rig.warm(1)
+    rig.warm(1)
+    for _ in range(6):
+        for order in orders(rig.pass_time(KEEP // 2)):
+            rig.held(order.worker)
+    assert not orders(rig.pass_time(3 * KEEP))
+
+
+def test_same_events_give_the_same_actions() -> None:
+    def run() -> list[api.Action]:
+        rig = Rig(seed=9)
+        for n in range(30):
+            rig.now += SECOND // 50
+            rig.ask(function=n % 4)
+            for order in orders(rig.actions):
+                rig.held(order.worker, function=order.function)
+        return rig.all
+
+    assert run() == run()
--- /dev/null
+++ b/walnutpost/__init__.py
@@ -0,0 +1,1 @@
+"""walnutpost: a router for functions that are loaded on demand."""
--- /dev/null
+++ b/walnutpost/adapter/codec.py
@@ -0,0 +1,420 @@
+"""Bytes of the simulator's wire to events and back. Wire words stay in this file."""
+
+from __future__ import annotations
+
+import json
+import struct
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from walnutpost import interface as api
+
+
+class ProtocolError(Exception):
+    """The other side sent something that the protocol does not allow."""
+
+
+class SettingsError(Exception):
+    """An instance's settings lack or misstate something that is needed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    seed: int
+    settings_text: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Stopped:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class BatchHeader:
+    count: int
+    length: int
+    clock: int
+    number: int
+
+
+BATCH_HEADER = struct.Struct("<IIQI")
+# The batch header's length field counts what follows it: clock, number and records.
+AFTER_LENGTH = 12
+RECORD_HEADER = struct.Struct("<BI")
+ENTRY = struct.Struct("<IHHHBfQ")
+REQUEST = struct.Struct("<IQBHQIIfffB")
+ENDED = struct.Struct("<IQHIHIBBB")
+HOLD_ENDED = struct.Struct("<IIQHIB")
+PROBE_ENDED = struct.Struct("<IIHIB")
+ANSWER_STARTED = struct.Struct("<IQHII")
+UPDATE = struct.Struct("<IBQB")
+STARTED = struct.Struct("<IQI")
+PEER = struct.Struct("<IIH")
+TIMER = struct.Struct("<II")
+GONE = struct.Struct("<IQ")
+STOPPED = struct.Struct("<I")
+TABLE = struct.Struct("<BI")
+
+OUTCOMES = {
+    200: api.Outcome.OK,
+    500: api.Outcome.ERROR,
+    503: api.Outcome.FULL,
+    504: api.Outcome.TIMEOUT,
+    502: api.Outcome.CONNECT_FAILED,
+    598: api.Outcome.RESET,
+    499: api.Outcome.CANCELLED,
+    410: api.Outcome.MOOT,
+    404: api.Outcome.MISS,
+}
+STATES = {0: api.WorkerState.GONE, 1: api.WorkerState.DRAINING, 2: api.WorkerState.READY}
+LIST_KINDS = {
+    0: api.ListKind.FAILED,
+    1: api.ListKind.CACHED,
+    2: api.ListKind.DELTA,
+    3: api.ListKind.FULL,
+}
+EFFECTS = {"free": api.Effect.SAFE, "guarded": api.Effect.KEYED, "single_shot": api.Effect.UNSAFE}
+GROUPS = {"all": api.Group.ALL, "zone": api.Group.ZONE, "cell": api.Group.CELL}
+FIELD_NAMES = {
+    "outstanding": "in_flight",
+    "backlog": "queue",
+    "utilization": "busy",
+    "x0": "memory_tied",
+    "x1": "loads",
+}
+HINT_VALID = 1
+CLIENT_REPEAT = 2
+
+Incoming = api.Event | Started | Stopped
+
+
+def read_header(data: bytes) -> BatchHeader:
+    header = BatchHeader(*BATCH_HEADER.unpack(data))
+    if header.length < AFTER_LENGTH:
+        raise ProtocolError(f"batch {header.number}: length {header.length} is shorter than its header")
+    return header
+
+
+def _lookup(table: dict[int, Any], value: int, what: str) -> Any:
+    if value not in table:
+        raise ProtocolError(f"{what} {value} is not one that the protocol knows")
+    return table[value]
+
+
+class Decoder:
+    """Turns the records of a batch into events; the numbered worker lists outlive a batch."""
+
+    def __init__(self) -> None:
+        self._tables: dict[int, tuple[api.Worker, ...]] = {}
+        self._readers: dict[int, Callable[[bytes], tuple[int, Incoming]]] = {
+            1: self._answer_started,
+            2: self._timer,
+            4: self._request,
+            5: self._ended,
+            6: self._probe_ended,
+            7: self._peer,
+            8: self._update,
+            9: self._stopped,
+            10: self._hold_ended,
+            11: self._started,
+            12: self._gone,
+        }
+
+    def records(self, header: BatchHeader, body: bytes) -> Iterator[tuple[int, Incoming]]:
+        """The batch's events in order, each with the number of its instance."""
+        at = 0
+        for index in range(header.count):
+            where = f"batch {header.number}, record {index}"
+            if at + RECORD_HEADER.size > len(body):
+                raise ProtocolError(f"{where}: the batch ends inside a record header")
+            code, size = RECORD_HEADER.unpack_from(body, at)
+            at += RECORD_HEADER.size
+            if at + size > len(body):
+                raise ProtocolError(f"{where}, code {code}: {size} bytes told, {len(body) - at} left")
+            fields = body[at : at + size]
+            at += size
+            try:
+                if code == 3:
+                    self._table(fields)
+                    continue
+                reader = self._readers.get(code)
+                if reader is None:
+                    raise ProtocolError("an unknown event code")
+                decoded = reader(fields)
+            except (struct.error, ProtocolError) as error:
+                raise ProtocolError(f"{where}, code {code}: {error}") from error
+            yield decoded
+        if at != len(body):
+            raise ProtocolError(f"batch {header.number}: {len(body) - at} bytes behind the last record")
+
+    def _table(self, fields: bytes) -> None:
+        bank, count = TABLE.unpack_from(fields)
+        rows = fields[TABLE.size :]
+        if len(rows) != count * ENTRY.size:
+            raise ProtocolError(f"{count} entries told, {len(rows)} bytes of them")
+        workers = []
+        for worker, zone, kind, cell, state, weight, started in ENTRY.iter_unpack(rows):
+            known = _lookup(STATES, state, "worker state")
+            workers.append(api.Worker(worker, zone, kind, cell, known, weight, started))
+        self._tables[bank] = tuple(workers)
+
+    def _update(self, fields: bytes) -> tuple[int, Incoming]:
+        instance, how, version, bank = UPDATE.unpack(fields)
+        kind = _lookup(LIST_KINDS, how, "list kind")
+        if kind is api.ListKind.FAILED:
+            return instance, api.WorkersListed(kind, version, ())
+        return instance, api.WorkersListed(kind, version, _lookup(self._tables, bank, "list number"))
+
+    @staticmethod
+    def _answer_started(fields: bytes) -> tuple[int, Incoming]:
+        instance, request, attempt, worker, latency = ANSWER_STARTED.unpack(fields)
+        return instance, api.AnswerStarted(request, attempt, worker, latency)
+
+    @staticmethod
+    def _timer(fields: bytes) -> tuple[int, Incoming]:
+        instance, token = TIMER.unpack(fields)
+        return instance, api.TimerDue(token)
+
+    @staticmethod
+    def _request(fields: bytes) -> tuple[int, Incoming]:
+        instance, request, cls, tenant, function, left, hint, memory, lanes, load_ms, flags = REQUEST.unpack(
+            fields
+        )
+        return instance, api.RequestArrived(
+            request=request,
+            class_index=cls,
+            tenant=tenant,
+            function=function,
+            time_left=left,
+            cost_hint=hint if flags & HINT_VALID else None,
+            memory_mb=memory,
+            lanes=lanes,
+            load_time=int(load_ms * 1000),
+            repeat=bool(flags & CLIENT_REPEAT),
+        )
+
+    @staticmethod
+    def _ended(fields: bytes) -> tuple[int, Incoming]:
+        instance, request, attempt, worker, how, latency, finished, note, count = ENDED.unpack_from(fields)
+        report = _floats(fields, ENDED.size, count)
+        outcome = _lookup(OUTCOMES, how, "outcome")
+        warmth = _lookup(_WARMTH, note & 7, "note")
+        return instance, api.AttemptEnded(
+            request, attempt, worker, outcome, latency, bool(finished), warmth, note >> 3, report
+        )
+
+    @staticmethod
+    def _probe_ended(fields: bytes) -> tuple[int, Incoming]:
+        instance, worker, how, latency, count = PROBE_ENDED.unpack_from(fields)
+        report = _floats(fields, PROBE_ENDED.size, count)
+        return instance, api.ProbeEnded(worker, _lookup(OUTCOMES, how, "outcome"), latency, report)
+
+    @staticmethod
+    def _peer(fields: bytes) -> tuple[int, Incoming]:
+        instance, peer, size = PEER.unpack_from(fields)
+        data = fields[PEER.size :]
+        if len(data) != size:
+            raise ProtocolError(f"{size} bytes of content told, {len(data)} there")
+        return instance, api.PeerSaid(peer, data)
+
+    @staticmethod
+    def _stopped(fields: bytes) -> tuple[int, Incoming]:
+        (instance,) = STOPPED.unpack(fields)
+        return instance, Stopped()
+
+    @staticmethod
+    def _hold_ended(fields: bytes) -> tuple[int, Incoming]:
+        instance, worker, function, how, latency, copies = HOLD_ENDED.unpack(fields)
+        outcome = _lookup(OUTCOMES, how, "outcome")
+        return instance, api.HoldEnded(worker, function, outcome, latency, copies)
+
+    @staticmethod
+    def _started(fields: bytes) -> tuple[int, Incoming]:
+        instance, seed, size = STARTED.unpack_from(fields)
+        text = fields[STARTED.size :]
+        if len(text) != size:
+            raise ProtocolError(f"{size} bytes of settings told, {len(text)} there")
+        return instance, Started(seed, text)
+
+    @staticmethod
+    def _gone(fields: bytes) -> tuple[int, Incoming]:
+        instance, request = GONE.unpack(fields)
+        return instance, api.RequestGone(request)
+
+
+_WARMTH = {int(warmth): warmth for warmth in api.Warmth}
+
+
+def _floats(fields: bytes, at: int, count: int) -> tuple[float, ...]:
+    if len(fields) != at + 4 * count:
+        raise ProtocolError(f"{count} report values told, {len(fields) - at} bytes of them")
+    return struct.unpack_from(f"<{count}f", fields, at)
+
+
+def encode_reply(number: int, records: list[bytes]) -> bytes:
+    body = b"".join(records)
+    return struct.pack("<II", 4 + len(body), number) + body
+
+
+def _record(code: int, layout: str, *values: Any) -> bytes:
+    fields = struct.pack("<" + layout, *values)
+    return RECORD_HEADER.pack(code, len(fields)) + fields
+
+
+def encode_fault(instance: int, text: str) -> bytes:
+    return _text_record(10, instance, text)
+
+
+def _text_record(code: int, instance: int, text: str) -> bytes:
+    data = text.encode()[:65535]
+    return _record(code, f"IH{len(data)}s", instance, len(data), data)
+
+
+def encode_action(instance: int, action: api.Action) -> bytes:
+    match action:
+        case api.Send(request, worker, timeout):
+            return _record(1, "IQII", instance, request, worker, timeout)
+        case api.Refuse(request, retry_after):
+            return _record(2, "IQI", instance, request, retry_after)
+        case api.Fail(request):
+            return _record(3, "IQ", instance, request)
+        case api.Cancel(request, attempt):
+            return _record(4, "IQH", instance, request, attempt)
+        case api.SetTimer(delay, token):
+            return _record(5, "III", instance, delay, token)
+        case api.Probe(worker):
+            return _record(6, "II", instance, worker)
+        case api.CloseIdle(worker):
+            return _record(7, "II", instance, worker)
+        case api.Log(text):
+            return _text_record(9, instance, text)
+        case api.FollowList(on):
+            return _record(11, "IB", instance, on)
+        case api.ReadList():
+            return _record(12, "I", instance)
+        case api.Hold(worker, function, copies):
+            return _record(13, "IIQB", instance, worker, function, copies)
+        case api.Unload(worker, function):
+            return _record(14, "IIQ", instance, worker, function)
+    raise TypeError(f"no wire form for {action!r}")
+
+
+class _Told:
+    """One level of the settings; a lack is reported with the key's full name."""
+
+    def __init__(self, values: Any, path: str = "") -> None:
+        if not isinstance(values, dict):
+            raise SettingsError(f"setting {path or 'root'} is not an object")
+        self._values: dict[str, Any] = values
+        self._path = path
+
+    def need(self, key: str) -> Any:
+        if self._values.get(key) is None:
+            raise SettingsError(f"setting {self._path}{key} is missing")
+        return self._values[key]
+
+    def number(self, key: str) -> float:
+        """A figure that may be left out: zero then, which everywhere means 'not told'."""
+        value = self._values.get(key) or 0
+        if not isinstance(value, int | float):
+            raise SettingsError(f"setting {self._path}{key} is not a number")
+        return value
+
+    def whole(self, key: str) -> int:
+        return int(self.number(key))
+
+    def needed_whole(self, key: str) -> int:
+        self.need(key)
+        return self.whole(key)
+
+    def word(self, key: str) -> str:
+        return str(self._values.get(key) or "")
+
+    def flag(self, key: str) -> bool:
+        return bool(self._values.get(key))
+
+    def part(self, key: str) -> _Told:
+        return _Told(self._values.get(key) or {}, f"{self._path}{key}.")
+
+    def parts(self, key: str) -> list[_Told]:
+        return [_Told(v, f"{self._path}{key}[{i}].") for i, v in enumerate(self._values.get(key) or [])]
+
+    def items(self, key: str) -> list[Any]:
+        return list(self._values.get(key) or [])
+
+
+def _request_class(told: _Told) -> api.RequestClass:
+    effect = told.need("Idempotency")
+    if effect not in EFFECTS:
+        raise SettingsError(f"setting Profiles Idempotency {effect!r} is not known")
+    return api.RequestClass(
+        aim=told.needed_whole("Aim"),
+        deadline=told.needed_whole("HardLimit"),
+        worth=float(told.need("Importance")),
+        late_worth=told.number("LateWorth"),
+        effect=EFFECTS[effect],
+        group=GROUPS.get(told.word("DedupScope"), api.Group.CELL),
+        window=told.whole("Window"),
+        stream=told.flag("Stream"),
+        aim_stretch=told.number("AimStretch"),
+    )
+
+
+def parse_settings(text: bytes) -> api.Settings:
+    try:
+        told = _Told(json.loads(text))
+    except ValueError as error:
+        raise SettingsError(f"settings are not JSON: {error}") from error
+    told.need("Profiles")
+    told.need("PolicyLimits")
+    limits, rules, prices, extra = (
+        told.part(key) for key in ("PolicyLimits", "Guarantees", "Prices", "Extra")
+    )
+    return api.Settings(
+        classes=tuple(_request_class(profile) for profile in told.parts("Profiles")),
+        tenants=tuple(api.Tenant(r.number("Share"), r.number("QuotaPerS")) for r in told.parts("Realms")),
+        limits=api.Limits(
+            cancel=limits.flag("Cancel"),
+            probes=limits.flag("Probes"),
+            parallel_tries=limits.flag("ParallelTries"),
+            retry_after=limits.flag("RetryAfter"),
+            max_attempts=limits.needed_whole("MaxAttempts"),
+            max_retry_after=limits.whole("MaxRetryAfter"),
+        ),
+        guards=api.Guards(
+            answer_slack=rules.whole("AnswerSlack"),
+            drain_grace=rules.whole("DrainGrace"),
+            cold_for=rules.whole("Cold"),
+            start_capacity=rules.number("StartCapacity"),
+            overload_factor=rules.number("OverloadFactor"),
+            overload_for=rules.whole("OverloadFor"),
+            ask_within=rules.whole("AskWithin"),
+            free_loads=extra.number("FreeLoads"),
+            load_share=extra.number("LoadShare"),
+            load_window=extra.whole("LoadWindow"),
+        ),
+        prices=api.Prices(
+            cross_zone=prices.number("CrossZone"),
+            waste=prices.number("Waste"),
+            probe=prices.number("Probe"),
+            fetch=prices.number("Origin"),
+            late_fail=prices.number("LateFail"),
+            idle_copies=extra.number("PriceOfIdle"),
+        ),
+        zone=told.whole("MyZone"),
+        front_ends=told.whole("Siblings"),
+        tick=told.whole("Quantum"),
+        keep_alive=extra.whole("KeepAlive"),
+        order_timeout=extra.whole("OrderLimit"),
+        may_load=extra.flag("MayLoad"),
+        loads_on_miss=extra.word("WhenAbsent") != "miss",
+        tells_warmth=extra.flag("WarmNotes"),
+        tells_crowd=extra.flag("NotesPeersInHand"),
+        must_ask_list=told.word("RegistryMode") == "ask",
+        weighted=told.word("Weights") not in ("", "none"),
+        worth_by_work=told.word("WorthBy") == "work",
+        over_share_worth=told.number("OverShareWorth"),
+        report_fields=tuple(FIELD_NAMES.get(f, str(f)) for f in told.part("Reporting").items("Fields")),
+        memory_by_kind=tuple(float(mb) for mb in extra.items("MemoryMbByKind")),
+    )
--- /dev/null
+++ b/walnutpost/rules.py
@@ -0,0 +1,632 @@
+"""Every decision of walnutpost; the types it speaks are in interface.py.
+
+Outline: constants; state; Router: entry and time, arrivals and the ordinary path, scale-up and renewals, the
+choke points (send, order, answer), outcomes, health, shortage, the worker list. The ordinary path is the
+design's; each departure says in its comment when it acts.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from random import Random
+
+from . import interface as api
+from .interface import Effect, Group, ListKind, Outcome, Warmth, WorkerState
+
+# An attempt with one of these outcomes certainly had no effect.
+NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS))
+HEARD_FROM = frozenset((Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.MISS))
+ASK = 0  # copies in an order that only asks
+# Shares of the load ration that each purpose may fill; held requests may use all of it.
+RATION_HELD, RATION_OVERFLOW, RATION_RENEWAL = 1.0, 0.8, 0.5
+RENEW_AFTER = 0.6  # of the keep-alive: late enough that traffic mostly renews, early enough to be in time
+RENEW_SPAN = 2.0  # keep-alives since the last request in which a function still counts as in use
+RENEW_SEEN = 2  # requests before a function earns renewals: one-off functions earn none
+LOAD_OVERDUE = 3.0  # times the usual load after which a scale-up no longer bars the next
+ORDER_BACKOFF, ORDER_DOUBLINGS = 0.5, 4  # of the usual load: wait after a failed order, doubled in a row
+ASK_WIDTH = 3  # workers of the hash order that are asked while the ration is spent
+# Usual latencies without a word from a worker with work out before it is asked; bounds of that in aims.
+QUIET_PACE, QUIET_LEAST, QUIET_MOST = 2.0, 0.1, 0.5
+ECHO_TICKS, ECHO_LEAST = 16, 0.04  # ticks, and aims, until an unanswered question means silence
+SET_ASIDE_MOST = 0.5  # of the ready workers: beyond it the trouble is ours or everyone's
+TRIAL_AFTER = 0.5  # aims between questions to a silent worker
+COLD_CAUTION = 0.6  # of the derived budget: workers differ, and so do the front ends' slices
+PACE_GAIN, FLEET_GAIN = 0.2, 0.02  # weight of one answer in a worker's and in the fleet's pace
+SLOW_FROM, PACE_SAMPLES = 1.8, 4  # times the fleet's pace, on so many answers, make a worker slow
+SHED_FROM, SHED_FULL = 0.4, 0.9  # of the aim: time to answer at which refusals begin, and reach their most
+SHED_MOST, SHED_CHANCE = 0.9, 1.0  # of the requests; deviations of the number in flight put down to chance
+RATE_SPAN = 2.0  # aims over which the rate of answers is taken
+SHED_MEMORY = 128  # requests among which a new one's worth is ranked
+HEDGE_AFTER, HEDGE_SHARE = 0.45, 0.05  # of the aim until a second copy; of the requests may get one
+MASK = (1 << 64) - 1
+
+
+def hash_rank(function: int, worker: int, weight: float) -> float:
+    """Weighted rendezvous rank, the same at every front end; the highest comes first."""
+    x = (function * 0x9E3779B97F4A7C15 + worker * 0xC2B2AE3D27D4EB4F) & MASK
+    x = ((x ^ (x >> 30)) * 0xBF58476D1CE4E5B9) & MASK
+    x = ((x ^ (x >> 27)) * 0x94D049BB133111EB) & MASK
+    x ^= x >> 31
+    return -weight / math.log((x + 1) / (MASK + 2))
+
+
+@dataclass(slots=True)
+class _Worker:
+    info: api.Worker
+    started: int  # start time told, or the return from a long silence; 0 is long ago
+    ready: bool = True
+    out: int = 0
+    busy: int = 0  # of these, sent to a copy believed warm
+    heard: int = 0
+    asked: int | None = None
+    silent_since: int | None = None
+    watched: bool = False
+    pace: float = 1.0
+    samples: int = 0
+    paced_at: int = 0
+    sends: deque[int] = field(default_factory=lambda: deque(maxlen=512))  # for the cold budget
+
+
+@dataclass(slots=True)
+class _Copy:
+    touched: int
+    count: int = 1
+
+
+@dataclass(slots=True)
+class _Function:
+    key: int
+    lanes: int = 1
+    load_time: int = 0
+    seen: int = 0
+    last_used: int = 0
+    copies: dict[int, _Copy] = field(default_factory=dict)  # believed warm
+    out: dict[int, int] = field(default_factory=dict)  # own requests in flight, by worker
+    held: dict[int, None] = field(default_factory=dict)
+    pending: dict[int, int] = field(default_factory=dict)  # orders of the scale-up in flight
+    barred: dict[int, int] = field(default_factory=dict)  # worker -> no order before
+    failures: int = 0
+    next_try: int = 0
+    renewing: bool = False
+    waking: int = 0
+
+
+@dataclass(slots=True)
+class _Attempt:
+    worker: int
+    sent: int
+    warm: bool
+    outcome: Outcome | None = None
+
+
+@dataclass(slots=True)
+class _Request:
+    id: int
+    cls: api.RequestClass
+    fn: _Function
+    expires: int
+    hint: int | None
+    attempts: list[_Attempt] = field(default_factory=list)
+    avoid: list[int] = field(default_factory=list)
+    done: bool = False
+
+
+class Router:
+    """One front end's decisions. Time comes with each event, randomness from the seed."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self._s = settings
+        self._rng = Random(seed)
+        self._now = 0
+        self._actions: list[api.Action] = []
+        self._workers: dict[int, _Worker] = {}
+        self._functions: dict[int, _Function] = {}
+        self._requests: dict[int, _Request] = {}
+        self._queue: list[tuple[int, str, int]] = []
+        self._armed: int | None = None
+        self._orders: deque[int] = deque()
+        self._taken: deque[int] = deque()
+        self._keep = settings.keep_alive or settings.order_timeout or 1
+        self._aim = max(1, min((c.aim for c in settings.classes), default=1))
+        self._latency = 0.25 * self._aim
+        self._load = 0.5 * self._aim
+        self._fleet = 1.0
+        self._served, self._served_at, self._began = 0.0, 0, 0
+        self._worths: deque[float] = deque(maxlen=SHED_MEMORY)
+        self._hedges = 0.0
+        self._asked_list = False
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        self._now, self._actions = now, []
+        self._began = self._began or now
+        match event:
+            case api.RequestArrived():
+                self._arrive(event)
+            case api.AttemptEnded():
+                self._attempt_ended(event)
+            case api.HoldEnded():
+                self._hold_ended(event)
+            case api.WorkersListed():
+                self._listed(event)
+            case api.RequestGone(request) if request in self._requests:
+                self._close(self._requests[request])
+            case api.AnswerStarted(request) if request in self._requests:
+                self._requests[request].done = True
+        while self._queue and self._queue[0][0] <= now:
+            _, what, ref = heappop(self._queue)
+            self._due(what, ref)
+        if self._queue and (self._armed is None or self._armed <= now or self._queue[0][0] < self._armed):
+            self._armed = self._queue[0][0]
+            self._actions.append(api.SetTimer(self._armed - now, 1))
+        return self._actions
+
+    def _later(self, when: float, what: str, ref: int) -> None:
+        heappush(self._queue, (max(int(when), self._now + 1), what, ref))
+
+    def _due(self, what: str, ref: int) -> None:
+        fn, req = self._functions.get(ref), self._requests.get(ref)
+        if what == "watch":
+            self._watch(self._workers[ref])
+        elif what == "list":
+            self._actions.append(api.FollowList(True))
+        elif what == "deadline" and req:
+            self._answer(req)
+        elif what == "late" and req and not req.done:
+            self._late(req)
+        elif what == "renew" and fn:
+            self._renew(fn)
+        elif what == "wake" and fn and 0 < fn.waking <= self._now:  # else an earlier one took its place
+            fn.waking = 0
+            self._release(fn)
+
+    # Arrivals and the ordinary path
+
+    def _arrive(self, e: api.RequestArrived) -> None:
+        now = self._now
+        fn = self._functions.setdefault(e.function, _Function(e.function))
+        fn.lanes, fn.load_time, fn.last_used = max(1, int(e.lanes)), e.load_time, now
+        fn.seen += 1
+        self._renew_later(fn)
+        self._taken.append(now)
+        cls = self._s.classes[min(e.class_index, len(self._s.classes) - 1)]
+        req = _Request(e.request, cls, fn, now + e.time_left, e.cost_hint)
+        self._requests[e.request] = req
+        if e.time_left <= 0 or self._sheds(req):
+            return self._answer(req)
+        self._hedges = min(10.0, self._hedges + HEDGE_SHARE)
+        # A tick early: the answer must be out before the client leaves.
+        self._later(req.expires - self._s.tick, "deadline", req.id)
+        self._place(req)
+
+    def _place(self, req: _Request) -> None:
+        """The design's path: least-busy warm worker, over target too; hold only while nothing is warm."""
+        worker = self._choose(req)
+        if worker is None:
+            req.fn.held[req.id] = None
+        over = worker is None or self._over(req.fn, worker)
+        if worker is not None:
+            self._send(req, worker)
+        if over:
+            self._scale_up(req.fn)
+
+    def _over(self, fn: _Function, w: _Worker) -> bool:
+        """No room: lanes taken, or a slow worker, whose copy serves but doesn't count towards the target."""
+        copies = fn.copies[w.info.id].count if w.info.id in fn.copies else 1
+        return fn.out.get(w.info.id, 0) >= fn.lanes * copies or self._slowness(w) > 1
+
+    def _warm(self, fn: _Function) -> list[_Worker]:
+        """Workers believed to hold a copy; belief lapses after the keep-alive unless work is out there."""
+        lapsed = [k for k, c in fn.copies.items() if c.touched + self._keep < self._now and k not in fn.out]
+        for key in lapsed:
+            del fn.copies[key]
+        return [w for w in map(self._workers.__getitem__, fn.copies) if w.ready and w.silent_since is None]
+
+    def _choose(self, req: _Request) -> _Worker | None:
+        def busy(w: _Worker) -> tuple[bool, float, float]:
+            out = (w.out + 1) * self._slowness(w) / self._weight(w)
+            return self._over(req.fn, w), out, self._rng.random()
+
+        return min((w for w in self._warm(req.fn) if self._may_send(req, w)), key=busy, default=None)
+
+    def _release(self, fn: _Function) -> None:
+        """All held requests leave for the first copy that appears."""
+        self._depart(fn, self._choose)
+        if fn.held:
+            self._scale_up(fn)
+
+    def _depart(self, fn: _Function, pick: Callable[[_Request], _Worker | None]) -> None:
+        for req in [self._requests[rid] for rid in fn.held]:
+            worker = pick(req)
+            if worker is not None:
+                del fn.held[req.id]
+                self._send(req, worker)
+
+    # The scale-up and renewals
+
+    def _usual_load(self, fn: _Function) -> float:
+        return max(float(fn.load_time), self._load)
+
+    def _target(self, fn: _Function, warm: list[_Worker]) -> int:
+        demand = sum(fn.out.get(w.info.id, 0) for w in warm) + len(fn.held) + 1
+        return max(1, math.ceil(demand / fn.lanes))
+
+    def _weight(self, w: _Worker) -> float:
+        return w.info.weight if self._s.weighted else 1.0
+
+    def _hash_order(self, fn: _Function) -> list[_Worker]:
+        ready = [w for w in self._workers.values() if w.ready]
+        return sorted(ready, key=lambda w: -hash_rank(fn.key, w.info.id, self._weight(w)))
+
+    def _scale_up(self, fn: _Function) -> None:
+        now = self._now
+        overdue = LOAD_OVERDUE * self._usual_load(fn)
+        barred_until = max(fn.next_try, max(fn.pending.values(), default=-overdue) + overdue)
+        if now < barred_until:  # one scale-up at a time, and a back-off after a failed one
+            return self._wake(fn, barred_until)
+        warm = [w for w in self._warm(fn) if self._slowness(w) == 1.0]
+        lacking = self._target(fn, warm) - sum(fn.copies[w.info.id].count for w in warm)
+        ration = RATION_HELD if fn.held else RATION_OVERFLOW
+        fit = [w for w in self._hash_order(fn) if w.silent_since is None and self._slowness(w) == 1.0]
+        known = {**fn.copies, **fn.pending, **{k: t for k, t in fn.barred.items() if t > now}}
+        for w in [w for w in fit if w.info.id not in known][: max(0, lacking)]:
+            if self._order(fn, w, 1, ration):
+                fn.pending[w.info.id] = now
+        if fn.held:
+            if now not in fn.pending.values():
+                self._without_order(fn, [w for w in fit if fn.barred.get(w.info.id, 0) <= now] or fit)
+            self._wake(fn, now + self._usual_load(fn) / 4)
+        return None
+
+    def _without_order(self, fn: _Function, order: list[_Worker]) -> None:
+        """Requests are held, the ration is spent or orders are barred. Where absence means a load, the held
+        go to the first of the hash order and load there; elsewhere the first few are asked, uncounted.
+        Guards small and freshly started front ends. Harm: loads beyond the ration."""
+        if self._s.loads_on_miss or not self._s.may_load:
+            self._depart(fn, lambda req: next((w for w in order if self._may_send(req, w)), None))
+            return
+        for w in order[:ASK_WIDTH]:
+            self._order(fn, w, ASK, RATION_HELD)
+        fn.next_try = int(self._now + self._usual_load(fn) / 4)
+
+    def _wake(self, fn: _Function, when: float) -> None:
+        when = int(max(when, self._now + self._s.tick))
+        if fn.held and (not fn.waking or when < fn.waking):
+            fn.waking = when
+            self._later(fn.waking, "wake", fn.key)
+
+    def _renew(self, fn: _Function) -> None:
+        """Copies in use, up to the target, that traffic has not renewed itself; others lapse."""
+        fn.renewing = False
+        now = self._now
+        warm = self._warm(fn)
+        if now - fn.last_used <= RENEW_SPAN * self._keep and fn.seen >= RENEW_SEEN:
+            believed = [w for w in self._hash_order(fn) if w in warm]
+            for w in believed[: self._target(fn, warm)]:
+                if now - fn.copies[w.info.id].touched >= RENEW_AFTER * self._keep * 0.9:
+                    self._order(fn, w, 1, RATION_RENEWAL)
+        if fn.copies or fn.held or fn.out or fn.pending:
+            self._renew_later(fn)
+        else:
+            del self._functions[fn.key]
+
+    def _renew_later(self, fn: _Function) -> None:
+        if not fn.renewing:
+            fn.renewing = True
+            due = min((c.touched for c in fn.copies.values()), default=self._now) + RENEW_AFTER * self._keep
+            self._later(max(due, self._now + self._keep / 8), "renew", fn.key)
+
+    # Choke points: the only places that emit sends, hold orders and final answers
+
+    def _may_send(self, req: _Request, w: _Worker) -> bool:
+        """Rules 1 to 4 for one send: unanswered, in time, repeat allowed, worker stays, cold budget kept."""
+        cls = req.cls
+        if req.done or not w.ready or w.info.id in req.avoid or not self._may_try_again(req):
+            return False
+        for a in req.attempts:
+            if cls.effect is Effect.KEYED and a.outcome not in NEVER_RAN:
+                first = self._workers[a.worker].info
+                other_zone = cls.group is Group.ZONE and first.zone != w.info.zone
+                other_cell = cls.group is Group.CELL and first.cell != w.info.cell
+                if other_zone or other_cell or self._now - a.sent > cls.window:
+                    return False
+        return self._cold_room(w)
+
+    def _may_try_again(self, req: _Request) -> bool:
+        limits = self._s.limits
+        if len(req.attempts) >= limits.max_attempts or self._now >= req.expires - self._s.tick:
+            return False
+        if not limits.parallel_tries and any(a.outcome is None for a in req.attempts):
+            return False
+        return req.cls.effect is not Effect.UNSAFE or all(a.outcome in NEVER_RAN for a in req.attempts)
+
+    def _cold_room(self, w: _Worker) -> bool:
+        """Rule 4: this front end's part of what a cold worker bears within any span. What warm workers are
+        seen to serve for this front end stands for capacity, so the parts of all front ends add up."""
+        g, now = self._s.guards, self._now
+        age = now - w.started
+        if not w.started or age >= g.cold_for or g.overload_for <= 0:
+            return True
+        while w.sends and w.sends[0] < now - g.overload_for:
+            w.sends.popleft()
+        strength = g.start_capacity + (1 - g.start_capacity) * max(0, age) / g.cold_for
+        rate = self._rate() / (sum(1 for o in self._workers.values() if o.ready) or 1)
+        return len(w.sends) < max(1.0, COLD_CAUTION * g.overload_factor * strength * rate * g.overload_for)
+
+    def _send(self, req: _Request, w: _Worker) -> bool:
+        if not self._may_send(req, w):
+            return False
+        now, wid, fn = self._now, w.info.id, req.fn
+        req.attempts.append(_Attempt(wid, now, wid in fn.copies))
+        w.busy += wid in fn.copies
+        fn.copies.setdefault(wid, _Copy(now)).touched = now
+        fn.out[wid] = fn.out.get(wid, 0) + 1
+        w.out += 1
+        w.heard = now if w.out == 1 else w.heard
+        w.sends.append(now)
+        self._actions.append(api.Send(req.id, wid, req.expires - now))
+        self._watch_at(w, w.heard + self._quiet_for())
+        if len(req.attempts) == 1:
+            usual = (req.hint or 0) * self._fleet
+            self._later(now + max(HEDGE_AFTER * req.cls.aim, 3 * usual), "late", req.id)
+        return True
+
+    def _order(self, fn: _Function, w: _Worker, copies: int, part: float) -> bool:
+        """Rules 3 and 5: no order to a leaving worker; every counted order stays inside the ration."""
+        if not self._s.may_load or (not w.ready and copies > ASK):
+            return False
+        g, now = self._s.guards, self._now
+        if copies > ASK and g.load_window > 0:
+            while self._orders and self._orders[0] < now - g.load_window:
+                self._orders.popleft()
+            while self._taken and self._taken[0] <= now - g.load_window:
+                self._taken.popleft()
+            if len(self._orders) + 1 > part * (g.free_loads + g.load_share * len(self._taken)):
+                return False
+            self._orders.append(now)
+        self._actions.append(api.Hold(w.info.id, fn.key, copies))
+        return True
+
+    def _answer(self, req: _Request) -> None:
+        """Rules 1 and 2: one final answer; a refusal only where trying again is harmless."""
+        if req.done:
+            return
+        ran = any(a.outcome not in NEVER_RAN for a in req.attempts)
+        keyed_all = req.cls.effect is Effect.KEYED and req.cls.group is Group.ALL
+        harmless = req.cls.effect is Effect.SAFE or keyed_all or not ran
+        after = min(self._s.limits.max_retry_after, req.cls.aim // 4) if self._s.limits.retry_after else 0
+        self._actions.append(api.Refuse(req.id, after) if harmless else api.Fail(req.id))
+        self._close(req)
+
+    def _close(self, req: _Request) -> None:
+        """Ends what is left of an answered request: attempts still out are called off."""
+        for number, a in enumerate(req.attempts):
+            if not (a.outcome or req.done or req.cls.stream) and self._s.limits.cancel:
+                self._actions.append(api.Cancel(req.id, number))
+        req.done = True
+        req.fn.held.pop(req.id, None)
+        if all(a.outcome for a in req.attempts):
+            del self._requests[req.id]
+
+    # Outcomes
+
+    def _attempt_ended(self, e: api.AttemptEnded) -> None:
+        req = self._requests.get(e.request)
+        if req is None or e.attempt >= len(req.attempts) or req.attempts[e.attempt].outcome:
+            return
+        a, fn, now = req.attempts[e.attempt], req.fn, self._now
+        w = self._workers[a.worker]
+        a.outcome = e.outcome
+        w.out -= 1
+        w.busy -= a.warm
+        fn.out[a.worker] -= 1
+        if not fn.out[a.worker]:
+            del fn.out[a.worker]
+        if e.outcome in HEARD_FROM:
+            self._hear(w)
+        if e.outcome is Outcome.OK:
+            if a.worker in fn.copies:
+                fn.copies[a.worker].touched = now
+            self._served, self._served_at = self._rate(counted=True) + 1, now
+            if a.warm and e.warmth not in (Warmth.BEGAN_LOAD, Warmth.AWAITED_LOAD):
+                self._latency += FLEET_GAIN * (e.latency - self._latency)
+                self._pace(req, w, e.latency)
+        elif e.outcome is Outcome.MISS or e.warmth is Warmth.LOAD_FAILED:
+            fn.copies.pop(a.worker, None)
+            if e.warmth is Warmth.LOAD_FAILED:
+                self._bar(fn, a.worker)
+        elif e.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+            self._silence(w)
+        if e.finished or req.done:
+            self._close(req)
+            return
+        if e.outcome is not Outcome.MISS or e.warmth is Warmth.LOAD_FAILED:
+            req.avoid.append(a.worker)
+        if all(o.outcome for o in req.attempts):
+            self._place(req) if self._may_try_again(req) else self._answer(req)
+
+    def _hold_ended(self, e: api.HoldEnded) -> None:
+        w, fn = self._workers.get(e.worker), self._functions.get(e.function)
+        if w is None:
+            return
+        if e.outcome in HEARD_FROM:
+            self._hear(w)
+        elif e.outcome is not Outcome.TIMEOUT:
+            self._silence(w)
+        if fn is None:
+            return
+        if e.outcome is Outcome.OK and not e.copies:
+            fn.copies.pop(e.worker, None) if e.worker not in fn.out else None
+            return
+        ordered = fn.pending.pop(e.worker, None)
+        if e.outcome is Outcome.OK and w.ready:
+            if ordered is not None and e.latency > self._aim * ECHO_LEAST:
+                self._load += PACE_GAIN * (e.latency - self._load)
+            fn.copies[e.worker] = _Copy(self._now, e.copies)
+            fn.failures = 0
+        elif ordered is not None:
+            self._bar(fn, e.worker)
+        self._release(fn)
+
+    def _bar(self, fn: _Function, worker: int) -> None:
+        """A refused or failed load is not repeated at once, nor in the same place: full workers, a store that
+        turns away. Harm: a function waits though a place has come free."""
+        fn.failures = min(fn.failures + 1, ORDER_DOUBLINGS)
+        step = ORDER_BACKOFF * self._usual_load(fn) * (0.5 + self._rng.random())
+        fn.barred[worker] = int(self._now + step * 2**fn.failures * 2)
+        fn.next_try = int(self._now + step * 2 ** (fn.failures - 2))
+
+    # Health
+
+    def _hear(self, w: _Worker) -> None:
+        w.heard, w.asked = self._now, None
+        if w.silent_since is not None:
+            # Back from a long silence it may have restarted: treat it as cold until the list tells.
+            if self._now - w.silent_since > self._aim:
+                w.started = self._now
+                w.sends.clear()
+            w.silent_since = None
+
+    def _quiet_for(self) -> int:
+        return int(min(max(QUIET_PACE * self._latency, QUIET_LEAST * self._aim), QUIET_MOST * self._aim))
+
+    def _watch_at(self, w: _Worker, when: float) -> None:
+        if not w.watched:
+            w.watched = True
+            self._later(max(when, self._now + self._s.tick), "watch", w.info.id)
+
+    def _watch(self, w: _Worker) -> None:
+        """A worker with work out that is quiet for long is asked how many copies stand; a live one answers at
+        once, however busy, so no echo means silence. Guards against machines that vanish without a reset,
+        before the list tells. Harm: late echoes set a busy worker aside."""
+        w.watched = False
+        now, quiet = self._now, self._quiet_for()
+        grace = max(ECHO_TICKS * self._s.tick, ECHO_LEAST * self._aim)
+        if w.silent_since is not None and w.ready:
+            self._question(w)
+            self._watch_at(w, now + TRIAL_AFTER * self._aim)
+        elif w.silent_since is None and w.out and now - w.heard < quiet:
+            self._watch_at(w, w.heard + quiet)
+        elif w.silent_since is None and w.out:
+            if w.asked is not None and now - w.asked >= grace:
+                return self._silence(w)
+            self._question(w)
+            self._watch_at(w, now + grace)
+
+    def _question(self, w: _Worker) -> None:
+        out_there = (f for f in self._functions.values() if w.info.id in f.out)
+        fn = next(out_there, None) or next(iter(self._functions.values()), None)
+        if fn is not None and (w.asked is None or w.silent_since is not None):
+            w.asked = self._now if w.asked is None else w.asked
+            self._order(fn, w, ASK, RATION_HELD)
+
+    def _silence(self, w: _Worker) -> None:
+        ready = [o for o in self._workers.values() if o.ready]
+        aside = sum(1 for o in ready if o.silent_since is not None)
+        if w.silent_since is None and aside + 1 <= SET_ASIDE_MOST * len(ready):
+            w.silent_since, w.asked = self._now, None
+            self._void(w)
+            self._watch_at(w, self._now + TRIAL_AFTER * self._aim)
+
+    def _void(self, w: _Worker, rescue: bool = True) -> None:
+        """Belief in a worker's copies ends; safe requests out there get another attempt elsewhere."""
+        for fn in self._functions.values():
+            fn.copies.pop(w.info.id, None)
+            fn.pending.pop(w.info.id, None)
+        for req in list(self._requests.values()) if rescue else ():
+            live = [a.worker for a in req.attempts if a.outcome is None]
+            stuck = live and not req.done and req.id not in req.fn.held and set(live) == {w.info.id}
+            if stuck and self._may_try_again(req):
+                req.avoid.append(w.info.id)
+                self._place(req)
+
+    def _rate(self, counted: bool = False) -> float:
+        """Answers to this front end per microsecond, lately; or the decayed count of them itself."""
+        span = RATE_SPAN * self._aim
+        count = self._served * math.exp((self._served_at - self._now) / span)
+        seen = 1 - math.exp(min(self._began - self._now, -self._s.tick - 1) / span)
+        return count if counted else count / span / seen
+
+    def _pace(self, req: _Request, w: _Worker, took: int) -> None:
+        ratio = min(10.0, took / max(1.0, float(req.hint or self._latency)))
+        self._fleet += FLEET_GAIN * (ratio - self._fleet)
+        if w.paced_at + self._keep < self._now:
+            w.pace, w.samples = self._fleet, 0
+        w.pace += PACE_GAIN * (ratio - w.pace)
+        w.samples += 1
+        w.paced_at = self._now
+
+    def _slowness(self, w: _Worker) -> float:
+        """Above 1 only where the pace against the cost hint is far from the fleet's: slow or shared machines.
+        Few costly requests don't show. Lapses without news, for a new trial. Harm: chance on few answers."""
+        known = w.samples >= PACE_SAMPLES and w.paced_at + self._keep >= self._now
+        ratio = w.pace / self._fleet if known else 1.0
+        return ratio if ratio >= SLOW_FROM else 1.0
+
+    def _late(self, req: _Request) -> None:
+        """A late first attempt counts against its worker's pace before it ends, and a safe request gets one
+        second copy, elsewhere and warm. Guards against slow machines and lost answers alike; bounded by a
+        share of traffic and off in shortage. Harm: wasted work."""
+        first = req.attempts[0]
+        if first.warm and first.outcome is None:
+            self._pace(req, self._workers[first.worker], self._now - first.sent)
+        if self._hedges < 1 or self._shortage() > 0 or req.id in req.fn.held or not self._may_try_again(req):
+            return
+        req.avoid.extend(a.worker for a in req.attempts)
+        worker = self._choose(req)
+        if worker is not None and not self._over(req.fn, worker) and self._send(req, worker):
+            self._hedges -= 1
+
+    # Shortage
+
+    def _shortage(self) -> float:
+        """The share of requests to refuse. Requests in flight on warm copies over the rate of answers tell
+        the time to answer at once; late answers would tell it too late and make refusals swing."""
+        each = sorted(w.busy for w in self._workers.values() if w.silent_since is None and w.ready)
+        usual = 2 * each[len(each) // 2] + 1 if each else 0  # a few slow workers are no shortage
+        busy = sum(min(b, usual) for b in each)
+        if self._now - self._began < self._aim or busy <= SHED_CHANCE**2:
+            return 0.0
+        ahead = (busy - SHED_CHANCE * math.sqrt(busy)) / max(self._rate(), 1 / self._aim) / self._aim
+        return min(SHED_MOST, (ahead - SHED_FROM) / (SHED_FULL - SHED_FROM))
+
+    def _sheds(self, req: _Request) -> bool:
+        """While the foretold time to answer nears the aim, those worth least are refused at once, so that the
+        rest are in time. Guards against overload, bursts, lost capacity. Harm: refusals if all are slow."""
+        worth = req.cls.worth
+        self._worths.append(worth)
+        below = sum(1 for x in self._worths if x < worth)
+        same = sum(1 for x in self._worths if x == worth)
+        return (below + self._rng.random() * same) / len(self._worths) < self._shortage()
+
+    # The worker list
+
+    def _listed(self, e: api.WorkersListed) -> None:
+        if self._s.must_ask_list and (not self._asked_list or e.kind is ListKind.FAILED):
+            self._later(self._now + self._asked_list * self._s.guards.ask_within / 8, "list", 0)
+            self._asked_list = True
+        if e.kind is ListKind.FAILED:
+            return
+        named = {info.id: info for info in e.workers}
+        for wid, w in self._workers.items():
+            if wid not in named and e.kind is not ListKind.DELTA:
+                self._leave(w)
+        for wid, info in named.items():
+            w = self._workers.setdefault(wid, _Worker(info, info.started_at))
+            if info.started_at > w.info.started_at:
+                self._void(w)
+                w.started, w.silent_since, w.asked, w.samples = info.started_at, None, None, 0
+            w.info, w.ready = info, info.state is WorkerState.READY
+            if not w.ready:
+                self._leave(w, info.state is WorkerState.GONE)
+        for fn in list(self._functions.values()):
+            if fn.held:
+                self._release(fn)
+
+    def _leave(self, w: _Worker, gone: bool = True) -> None:
+        """From the moment it is told, a draining or gone worker gets neither call nor order."""
+        w.ready = False
+        self._void(w, rescue=gone)
