--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -24,8 +24,8 @@
 # Shares of the load ration that each purpose may fill; held requests may use all of it.
 RATION_HELD, RATION_OVERFLOW, RATION_RENEWAL = 1.0, 0.8, 0.5
 RENEW_AFTER = 0.6  # of the keep-alive: late enough that traffic mostly renews, early enough to be in time
-RENEW_SPAN = 2.0  # keep-alives since the last request in which a function still counts as in use
-RENEW_SEEN = 2  # requests before a function earns renewals: one-off functions earn none
+# In use: asked for within so many keep-alives, and so often at all; one-off functions earn no renewals.
+RENEW_SPAN, RENEW_SEEN = 2.0, 2
 LOAD_OVERDUE = 3.0  # times the usual load after which a scale-up no longer bars the next
 ORDER_BACKOFF, ORDER_DOUBLINGS = 0.5, 4  # of the usual load: wait after a failed order, doubled in a row
 ASK_WIDTH = 3  # workers of the hash order that are asked while the ration is spent
@@ -36,8 +36,9 @@
 TRIAL_AFTER = 0.5  # aims between questions to a silent worker
 COLD_CAUTION = 0.6  # of the derived budget: workers differ, and so do the front ends' slices
 PACE_GAIN, FLEET_GAIN = 0.2, 0.02  # weight of one answer in a worker's and in the fleet's pace
-SLOW_FROM, PACE_SAMPLES = 1.8, 4  # times the fleet's pace, on so many answers, make a worker slow
-SHED_FROM, SHED_FULL = 0.4, 0.9  # of the aim: time to answer at which refusals begin, and reach their most
+SLOW_FROM, PACE_SAMPLES = 1.5, 4  # times the fleet's pace, on so many answers, make a worker slow
+CROWD_FROM, CROWD_LEAST = 1.3, 1  # times the mean requests out, and so many more, make a worker crowded
+SHED_FROM, SHED_FULL = 0.3, 0.7  # of the aim: time to answer at which refusals begin, and reach their most
 SHED_MOST, SHED_CHANCE = 0.9, 1.0  # of the requests; deviations of the number in flight put down to chance
 RATE_SPAN = 2.0  # aims over which the rate of answers is taken
 SHED_MEMORY = 128  # requests among which a new one's worth is ranked
@@ -64,7 +65,6 @@
     heard: int = 0
     asked: int | None = None
     silent_since: int | None = None
-    watched: bool = False
     pace: float = 1.0
     samples: int = 0
     paced_at: int = 0
@@ -75,6 +75,7 @@
 class _Copy:
     touched: int
     count: int = 1
+    sure: bool = False  # seen to stand, not only sent to
 
 
 @dataclass(slots=True)
@@ -91,8 +92,6 @@
     barred: dict[int, int] = field(default_factory=dict)  # worker -> no order before
     failures: int = 0
     next_try: int = 0
-    renewing: bool = False
-    waking: int = 0
 
 
 @dataclass(slots=True)
@@ -127,6 +126,7 @@
         self._functions: dict[int, _Function] = {}
         self._requests: dict[int, _Request] = {}
         self._queue: list[tuple[int, str, int]] = []
+        self._timers: dict[tuple[str, int], int] = {}
         self._armed: int | None = None
         self._orders: deque[int] = deque()
         self._taken: deque[int] = deque()
@@ -135,7 +135,7 @@
         self._latency = 0.25 * self._aim
         self._load = 0.5 * self._aim
         self._fleet = 1.0
-        self._served, self._served_at, self._began = 0.0, 0, 0
+        self._served, self._served_at, self._began, self._out = 0.0, 0, 0, 0
         self._worths: deque[float] = deque(maxlen=SHED_MEMORY)
         self._hedges = 0.0
         self._asked_list = False
@@ -157,15 +157,21 @@
             case api.AnswerStarted(request) if request in self._requests:
                 self._requests[request].done = True
         while self._queue and self._queue[0][0] <= now:
-            _, what, ref = heappop(self._queue)
-            self._due(what, ref)
+            due, what, ref = heappop(self._queue)
+            if self._timers.get((what, ref)) == due:  # else an earlier one took its place
+                del self._timers[what, ref]
+                self._due(what, ref)
         if self._queue and (self._armed is None or self._armed <= now or self._queue[0][0] < self._armed):
             self._armed = self._queue[0][0]
             self._actions.append(api.SetTimer(self._armed - now, 1))
         return self._actions
 
     def _later(self, when: float, what: str, ref: int) -> None:
-        heappush(self._queue, (max(int(when), self._now + 1), what, ref))
+        """One timer for each purpose and its object; the earliest holds."""
+        due = int(max(when, self._now + max(1, self._s.tick)))
+        if due < self._timers.get((what, ref), due + 1):
+            self._timers[what, ref] = due
+            heappush(self._queue, (due, what, ref))
 
     def _due(self, what: str, ref: int) -> None:
         fn, req = self._functions.get(ref), self._requests.get(ref)
@@ -179,8 +185,7 @@
             self._late(req)
         elif what == "renew" and fn:
             self._renew(fn)
-        elif what == "wake" and fn and 0 < fn.waking <= self._now:  # else an earlier one took its place
-            fn.waking = 0
+        elif what == "wake" and fn:
             self._release(fn)
 
     # Arrivals and the ordinary path
@@ -214,9 +219,9 @@
             self._scale_up(req.fn)
 
     def _over(self, fn: _Function, w: _Worker) -> bool:
-        """No room: lanes taken, or a slow worker, whose copy serves but doesn't count towards the target."""
+        """No room: lanes taken, or a slow or crowded worker."""
         copies = fn.copies[w.info.id].count if w.info.id in fn.copies else 1
-        return fn.out.get(w.info.id, 0) >= fn.lanes * copies or self._slowness(w) > 1
+        return fn.out.get(w.info.id, 0) >= fn.lanes * copies or self._worn(w)
 
     def _warm(self, fn: _Function) -> list[_Worker]:
         """Workers believed to hold a copy; belief lapses after the keep-alive unless work is out there."""
@@ -266,19 +271,20 @@
         overdue = LOAD_OVERDUE * self._usual_load(fn)
         barred_until = max(fn.next_try, max(fn.pending.values(), default=-overdue) + overdue)
         if now < barred_until:  # one scale-up at a time, and a back-off after a failed one
-            return self._wake(fn, barred_until)
-        warm = [w for w in self._warm(fn) if self._slowness(w) == 1.0]
+            return self._later(barred_until, "wake", fn.key)
+        warm = self._warm(fn)
         lacking = self._target(fn, warm) - sum(fn.copies[w.info.id].count for w in warm)
+        lacking = max(lacking, int(all(map(self._worn, warm))))  # one elsewhere if all are slow or crowded
         ration = RATION_HELD if fn.held else RATION_OVERFLOW
-        fit = [w for w in self._hash_order(fn) if w.silent_since is None and self._slowness(w) == 1.0]
+        fit = [w for w in self._hash_order(fn) if w.silent_since is None and not self._worn(w)]
         known = {**fn.copies, **fn.pending, **{k: t for k, t in fn.barred.items() if t > now}}
-        for w in [w for w in fit if w.info.id not in known][: max(0, lacking)]:
+        for w in [w for w in fit if w.info.id not in known][:lacking]:
             if self._order(fn, w, 1, ration):
                 fn.pending[w.info.id] = now
         if fn.held:
             if now not in fn.pending.values():
                 self._without_order(fn, [w for w in fit if fn.barred.get(w.info.id, 0) <= now] or fit)
-            self._wake(fn, now + self._usual_load(fn) / 4)
+            self._later(now + self._usual_load(fn) / 4, "wake", fn.key)
         return None
 
     def _without_order(self, fn: _Function, order: list[_Worker]) -> None:
@@ -292,15 +298,8 @@
             self._order(fn, w, ASK, RATION_HELD)
         fn.next_try = int(self._now + self._usual_load(fn) / 4)
 
-    def _wake(self, fn: _Function, when: float) -> None:
-        when = int(max(when, self._now + self._s.tick))
-        if fn.held and (not fn.waking or when < fn.waking):
-            fn.waking = when
-            self._later(fn.waking, "wake", fn.key)
-
     def _renew(self, fn: _Function) -> None:
         """Copies in use, up to the target, that traffic has not renewed itself; others lapse."""
-        fn.renewing = False
         now = self._now
         warm = self._warm(fn)
         if now - fn.last_used <= RENEW_SPAN * self._keep and fn.seen >= RENEW_SEEN:
@@ -314,10 +313,8 @@
             del self._functions[fn.key]
 
     def _renew_later(self, fn: _Function) -> None:
-        if not fn.renewing:
-            fn.renewing = True
-            due = min((c.touched for c in fn.copies.values()), default=self._now) + RENEW_AFTER * self._keep
-            self._later(max(due, self._now + self._keep / 8), "renew", fn.key)
+        due = min((c.touched for c in fn.copies.values()), default=self._now) + RENEW_AFTER * self._keep
+        self._later(max(due, self._now + self._keep / 8), "renew", fn.key)
 
     # Choke points: the only places that emit sends, hold orders and final answers
 
@@ -365,10 +362,11 @@
         fn.copies.setdefault(wid, _Copy(now)).touched = now
         fn.out[wid] = fn.out.get(wid, 0) + 1
         w.out += 1
+        self._out += 1
         w.heard = now if w.out == 1 else w.heard
         w.sends.append(now)
         self._actions.append(api.Send(req.id, wid, req.expires - now))
-        self._watch_at(w, w.heard + self._quiet_for())
+        self._later(w.heard + self._quiet_for(), "watch", w.info.id)
         if len(req.attempts) == 1:
             usual = (req.hint or 0) * self._fleet
             self._later(now + max(HEDGE_AFTER * req.cls.aim, 3 * usual), "late", req.id)
@@ -421,22 +419,24 @@
         w = self._workers[a.worker]
         a.outcome = e.outcome
         w.out -= 1
+        self._out -= 1
         w.busy -= a.warm
         fn.out[a.worker] -= 1
         if not fn.out[a.worker]:
             del fn.out[a.worker]
         if e.outcome in HEARD_FROM:
             self._hear(w)
+        refused_load = e.outcome is Outcome.FULL and a.worker in fn.copies and not fn.copies[a.worker].sure
         if e.outcome is Outcome.OK:
             if a.worker in fn.copies:
-                fn.copies[a.worker].touched = now
+                fn.copies[a.worker].touched, fn.copies[a.worker].sure = now, True
             self._served, self._served_at = self._rate(counted=True) + 1, now
             if a.warm and e.warmth not in (Warmth.BEGAN_LOAD, Warmth.AWAITED_LOAD):
                 self._latency += FLEET_GAIN * (e.latency - self._latency)
                 self._pace(req, w, e.latency)
-        elif e.outcome is Outcome.MISS or e.warmth is Warmth.LOAD_FAILED:
+        elif e.outcome is Outcome.MISS or e.warmth is Warmth.LOAD_FAILED or refused_load:
             fn.copies.pop(a.worker, None)
-            if e.warmth is Warmth.LOAD_FAILED:
+            if e.outcome is not Outcome.MISS or e.warmth is Warmth.LOAD_FAILED:
                 self._bar(fn, a.worker)
         elif e.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             self._silence(w)
@@ -465,7 +465,7 @@
         if e.outcome is Outcome.OK and w.ready:
             if ordered is not None and e.latency > self._aim * ECHO_LEAST:
                 self._load += PACE_GAIN * (e.latency - self._load)
-            fn.copies[e.worker] = _Copy(self._now, e.copies)
+            fn.copies[e.worker] = _Copy(self._now, e.copies, True)
             fn.failures = 0
         elif ordered is not None:
             self._bar(fn, e.worker)
@@ -477,7 +477,7 @@
         fn.failures = min(fn.failures + 1, ORDER_DOUBLINGS)
         step = ORDER_BACKOFF * self._usual_load(fn) * (0.5 + self._rng.random())
         fn.barred[worker] = int(self._now + step * 2**fn.failures * 2)
-        fn.next_try = int(self._now + step * 2 ** (fn.failures - 2))
+        fn.next_try = int(self._now + step * (2 ** (fn.failures - 1) - 1))
 
     # Health
 
@@ -493,28 +493,22 @@
     def _quiet_for(self) -> int:
         return int(min(max(QUIET_PACE * self._latency, QUIET_LEAST * self._aim), QUIET_MOST * self._aim))
 
-    def _watch_at(self, w: _Worker, when: float) -> None:
-        if not w.watched:
-            w.watched = True
-            self._later(max(when, self._now + self._s.tick), "watch", w.info.id)
-
     def _watch(self, w: _Worker) -> None:
         """A worker with work out that is quiet for long is asked how many copies stand; a live one answers at
         once, however busy, so no echo means silence. Guards against machines that vanish without a reset,
         before the list tells. Harm: late echoes set a busy worker aside."""
-        w.watched = False
         now, quiet = self._now, self._quiet_for()
         grace = max(ECHO_TICKS * self._s.tick, ECHO_LEAST * self._aim)
         if w.silent_since is not None and w.ready:
             self._question(w)
-            self._watch_at(w, now + TRIAL_AFTER * self._aim)
+            self._later(now + TRIAL_AFTER * self._aim, "watch", w.info.id)
         elif w.silent_since is None and w.out and now - w.heard < quiet:
-            self._watch_at(w, w.heard + quiet)
+            self._later(w.heard + quiet, "watch", w.info.id)
         elif w.silent_since is None and w.out:
             if w.asked is not None and now - w.asked >= grace:
                 return self._silence(w)
             self._question(w)
-            self._watch_at(w, now + grace)
+            self._later(now + grace, "watch", w.info.id)
 
     def _question(self, w: _Worker) -> None:
         out_there = (f for f in self._functions.values() if w.info.id in f.out)
@@ -529,7 +523,7 @@
         if w.silent_since is None and aside + 1 <= SET_ASIDE_MOST * len(ready):
             w.silent_since, w.asked = self._now, None
             self._void(w)
-            self._watch_at(w, self._now + TRIAL_AFTER * self._aim)
+            self._later(self._now + TRIAL_AFTER * self._aim, "watch", w.info.id)
 
     def _void(self, w: _Worker, rescue: bool = True) -> None:
         """Belief in a worker's copies ends; safe requests out there get another attempt elsewhere."""
@@ -566,6 +560,12 @@
         ratio = w.pace / self._fleet if known else 1.0
         return ratio if ratio >= SLOW_FROM else 1.0
 
+    def _worn(self, w: _Worker) -> bool:
+        """Slow, or far more of this front end's requests out there than elsewhere: lanes say how many a copy
+        takes, not how many copies its worker's cores bear. Guards against hot workers. Harm: more copies."""
+        usual = self._out * self._weight(w) / sum(map(self._weight, self._workers.values()))
+        return self._slowness(w) > 1 or w.out > CROWD_FROM * usual + CROWD_LEAST
+
     def _late(self, req: _Request) -> None:
         """A late first attempt counts against its worker's pace before it ends, and a safe request gets one
         second copy, elsewhere and warm. Guards against slow machines and lost answers alike; bounded by a
