--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -1,8 +1,7 @@
 """Every decision of walnutpost; the types it speaks are in interface.py.
 
 Outline: constants; state; Router: entry and time, arrivals and the ordinary path, scale-up and renewals, the
-choke points (send, order, answer), outcomes, health, shortage, the worker list. The ordinary path is the
-design's; each departure says in its comment when it acts.
+choke points (send, order, answer), outcomes, health, shortage, the list. Departures say when they act.
 """
 
 from __future__ import annotations
