--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -273,6 +273,8 @@
             return self._later(barred_until, "wake", fn.key)
         warm = self._warm(fn)
         lacking = self._target(fn, warm) - sum(fn.copies[w.info.id].count for w in warm)
+        if warm and self._shortage() > 0:
+            lacking = 0  # more copies add no cores, and their loads take some
         lacking = max(lacking, int(all(map(self._worn, warm))))  # one elsewhere if all are slow or crowded
         ration = RATION_HELD if fn.held else RATION_OVERFLOW
         fit = [w for w in self._hash_order(fn) if w.silent_since is None and not self._worn(w)]
