--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -156,6 +156,28 @@
     assert refused.count(0) > 4 * refused.count(1)
 
 
+def test_in_shortage_a_tenant_beyond_its_share_gives_way() -> None:
+    """One tenant's burst took the service of all the others."""
+    tenants = (api.Tenant(0.5, 0.0), api.Tenant(0.5, 0.0))
+    rig = Rig(workers=2, settings=replace(SETTINGS, tenants=tenants))
+    rig.warm(1, 2)
+    queue: list[tuple[int, int]] = []
+    refused, asked = [0, 0], [0, 0]
+    for n in range(1200):
+        rig.now += 5_000
+        tenant = int(n % 5 == 0)
+        rig._next += 1
+        event = api.RequestArrived(rig._next, 0, tenant, 7, 3 * SECOND, None, 300.0, 2, 0, False)
+        actions = rig.feed(event)
+        asked[tenant] += 1
+        refused[tenant] += len(of(api.Refuse, actions))
+        queue += [(s.request, s.worker) for s in of(api.Send, actions)]
+        if n % 2 and queue:
+            done, where = queue.pop(0)
+            rig.ended(done, 0, where, latency=SECOND)
+    assert refused[0] / asked[0] > 3 * refused[1] / asked[1]
+
+
 def test_no_refusal_in_the_first_seconds_of_a_front_end() -> None:
     """After a restart the rate of answers looked small, and ordinary traffic was refused."""
     rig = Rig(workers=4)
--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -39,8 +39,7 @@
 CROWD_FROM, CROWD_LEAST = 1.3, 1  # times the mean requests out, and so many more, make a worker crowded
 SHED_FROM, SHED_FULL = 0.3, 0.7  # of the aim: time to answer at which refusals begin, and reach their most
 SHED_MOST, SHED_CHANCE = 0.9, 1.0  # of the requests; deviations of the number in flight put down to chance
-RATE_SPAN = 2.0  # aims over which the rate of answers is taken
-SHED_MEMORY = 128  # requests among which a new one's worth is ranked
+RATE_SPAN, SHED_MEMORY = 2.0, 256  # aims over which rates are taken; requests that worth is ranked among
 HEDGE_AFTER, HEDGE_SHARE = 0.45, 0.05  # of the aim until a second copy; of the requests may get one
 MASK = (1 << 64) - 1
 
@@ -113,6 +112,21 @@
     done: bool = False
 
 
+class _Rate:
+    """Events per microsecond, lately; an older one weighs less."""
+
+    def __init__(self, span: float) -> None:
+        self.span, self.count, self.at, self.began = span, 0.0, 0, 0
+
+    def add(self, now: int) -> None:
+        self.began = self.began or now
+        self.count, self.at = self.count * math.exp((self.at - now) / self.span) + 1, now
+
+    def lately(self, now: int) -> float:
+        seen = 1 - math.exp(min(self.began - now, -1) / self.span)  # else it looks small after a start
+        return self.count * math.exp((self.at - now) / self.span) / self.span / seen
+
+
 class Router:
     """One front end's decisions. Time comes with each event, randomness from the seed."""
 
@@ -134,8 +148,9 @@
         self._latency = 0.25 * self._aim
         self._load = 0.5 * self._aim
         self._fleet = 1.0
-        self._served, self._served_at, self._began, self._out = 0.0, 0, 0, 0
-        self._worths: deque[float] = deque(maxlen=SHED_MEMORY)
+        self._began = 0
+        self._came, self._served = _Rate(RATE_SPAN * self._aim), _Rate(RATE_SPAN * self._aim)
+        self._recent: deque[tuple[float, int]] = deque(maxlen=SHED_MEMORY)
         self._hedges = 0.0
         self._asked_list = False
 
@@ -195,11 +210,13 @@
         fn.lanes, fn.load_time, fn.last_used = max(1, int(e.lanes)), e.load_time, now
         fn.seen += 1
         self._renew_later(fn)
-        self._taken.append(now)
+        if self._s.guards.load_window > 0:
+            self._taken.append(now)
+        self._came.add(now)
         cls = self._s.classes[min(e.class_index, len(self._s.classes) - 1)]
         req = _Request(e.request, cls, fn, now + e.time_left, e.cost_hint)
         self._requests[e.request] = req
-        if e.time_left <= 0 or self._sheds(req):
+        if e.time_left <= 0 or self._sheds(req, e.tenant):
             return self._answer(req)
         self._hedges = min(10.0, self._hedges + HEDGE_SHARE)
         # A tick early: the answer must be out before the client leaves.
@@ -209,18 +226,17 @@
     def _place(self, req: _Request) -> None:
         """The design's path: least-busy warm worker, over target too; hold only while nothing is warm."""
         worker = self._choose(req)
+        over = worker is None or self._over(req.fn, worker)
         if worker is None:
             req.fn.held[req.id] = None
-        over = worker is None or self._over(req.fn, worker)
-        if worker is not None:
+        else:
             self._send(req, worker)
         if over:
             self._scale_up(req.fn)
 
     def _over(self, fn: _Function, w: _Worker) -> bool:
         """No room: lanes taken, or a slow or crowded worker."""
-        copies = fn.copies[w.info.id].count if w.info.id in fn.copies else 1
-        return fn.out.get(w.info.id, 0) >= fn.lanes * copies or self._worn(w)
+        return fn.out.get(w.info.id, 0) >= fn.lanes * fn.copies[w.info.id].count or self._worn(w)
 
     def _warm(self, fn: _Function) -> list[_Worker]:
         """Workers believed to hold a copy; belief lapses after the keep-alive unless work is out there."""
@@ -289,9 +305,8 @@
         return None
 
     def _without_order(self, fn: _Function, order: list[_Worker]) -> None:
-        """Requests are held, the ration is spent or orders are barred. Where absence means a load, the held
-        go to the first of the hash order and load there; elsewhere the first few are asked, uncounted.
-        Guards small and freshly started front ends. Harm: loads beyond the ration."""
+        """Requests held, ration spent or orders barred: they go to the first of the hash order and load
+        there, or where absence means a miss its first few are asked. Harm: loads beyond the ration."""
         if self._s.loads_on_miss or not self._s.may_load:
             self._depart(fn, lambda req: next((w for w in order if self._may_send(req, w)), None))
             return
@@ -301,8 +316,7 @@
 
     def _renew(self, fn: _Function) -> None:
         """Copies in use, up to the target, that traffic has not renewed itself; others lapse."""
-        now = self._now
-        warm = self._warm(fn)
+        now, warm = self._now, self._warm(fn)
         if now - fn.last_used <= RENEW_SPAN * self._keep and fn.seen >= RENEW_SEEN:
             believed = [w for w in self._hash_order(fn) if w in warm]
             for w in believed[: self._target(fn, warm)]:
@@ -351,7 +365,7 @@
         while w.sends and w.sends[0] < now - g.overload_for:
             w.sends.popleft()
         strength = g.start_capacity + (1 - g.start_capacity) * max(0, age) / g.cold_for
-        rate = self._rate() / (sum(1 for o in self._workers.values() if o.ready) or 1)
+        rate = self._served.lately(self._now) / (sum(1 for o in self._workers.values() if o.ready) or 1)
         return len(w.sends) < max(1.0, COLD_CAUTION * g.overload_factor * strength * rate * g.overload_for)
 
     def _send(self, req: _Request, w: _Worker) -> bool:
@@ -363,11 +377,10 @@
         fn.copies.setdefault(wid, _Copy(now)).touched = now
         fn.out[wid] = fn.out.get(wid, 0) + 1
         w.out += 1
-        self._out += 1
         w.heard = now if w.out == 1 else w.heard
         w.sends.append(now)
         self._actions.append(api.Send(req.id, wid, req.expires - now))
-        self._later(w.heard + self._quiet_for(), "watch", w.info.id)
+        self._later(now + QUIET_LEAST * self._aim, "watch", wid)
         if len(req.attempts) == 1:
             usual = (req.hint or 0) * self._fleet
             self._later(now + max(HEDGE_AFTER * req.cls.aim, 3 * usual), "late", req.id)
@@ -417,21 +430,20 @@
         if req is None or e.attempt >= len(req.attempts) or req.attempts[e.attempt].outcome:
             return
         a, fn, now = req.attempts[e.attempt], req.fn, self._now
-        w = self._workers[a.worker]
+        w, copy = self._workers[a.worker], fn.copies.get(a.worker)
         a.outcome = e.outcome
         w.out -= 1
-        self._out -= 1
         w.busy -= a.warm
         fn.out[a.worker] -= 1
         if not fn.out[a.worker]:
             del fn.out[a.worker]
         if e.outcome in HEARD_FROM:
             self._hear(w)
-        refused_load = e.outcome is Outcome.FULL and a.worker in fn.copies and not fn.copies[a.worker].sure
+        refused_load = e.outcome is Outcome.FULL and copy is not None and not copy.sure
         if e.outcome is Outcome.OK:
-            if a.worker in fn.copies:
-                fn.copies[a.worker].touched, fn.copies[a.worker].sure = now, True
-            self._served, self._served_at = self._rate(counted=True) + 1, now
+            if copy is not None:
+                copy.touched, copy.sure = now, True
+            self._served.add(now)
             if a.warm and e.warmth not in (Warmth.BEGAN_LOAD, Warmth.AWAITED_LOAD):
                 self._latency += FLEET_GAIN * (e.latency - self._latency)
                 self._pace(req, w, e.latency)
@@ -442,8 +454,7 @@
         elif e.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             self._silence(w)
         if e.finished or req.done:
-            self._close(req)
-            return
+            return self._close(req)
         if e.outcome is not Outcome.MISS or e.warmth is Warmth.LOAD_FAILED:
             req.avoid.append(a.worker)
         if all(o.outcome for o in req.attempts):
@@ -473,8 +484,8 @@
         self._release(fn)
 
     def _bar(self, fn: _Function, worker: int) -> None:
-        """A refused or failed load is not repeated at once, nor in the same place: full workers, a store that
-        turns away. Harm: a function waits though a place has come free."""
+        """A refused or failed load is not repeated there, nor after two at once: full workers, failing store.
+        Harm: a function waits though a place has come free."""
         fn.failures = min(fn.failures + 1, ORDER_DOUBLINGS)
         step = ORDER_BACKOFF * self._usual_load(fn) * (0.5 + self._rng.random())
         fn.barred[worker] = int(self._now + step * 2**fn.failures * 2)
@@ -483,40 +494,30 @@
     # Health
 
     def _hear(self, w: _Worker) -> None:
-        w.heard, w.asked = self._now, None
-        if w.silent_since is not None:
-            # Back from a long silence it may have restarted: treat it as cold until the list tells.
-            if self._now - w.silent_since > self._aim:
-                w.started = self._now
-                w.sends.clear()
-            w.silent_since = None
-
-    def _quiet_for(self) -> int:
-        return int(min(max(QUIET_PACE * self._latency, QUIET_LEAST * self._aim), QUIET_MOST * self._aim))
+        if w.silent_since is not None and self._now - w.silent_since > self._aim:
+            w.started = self._now  # it may have restarted: cold until the list tells
+            w.sends.clear()
+        w.heard, w.asked, w.silent_since = self._now, None, None
 
     def _watch(self, w: _Worker) -> None:
-        """A worker with work out that is quiet for long is asked how many copies stand; a live one answers at
-        once, however busy, so no echo means silence. Guards against machines that vanish without a reset,
-        before the list tells. Harm: late echoes set a busy worker aside."""
-        now, quiet = self._now, self._quiet_for()
+        """A quiet worker with work out is asked for its copies; a live one answers at once, however busy.
+        Guards against machines that vanish without a reset. Harm: late echoes set a busy worker aside."""
+        now, silent = self._now, w.silent_since is not None
+        quiet = min(max(QUIET_PACE * self._latency, QUIET_LEAST * self._aim), QUIET_MOST * self._aim)
         grace = max(ECHO_TICKS * self._s.tick, ECHO_LEAST * self._aim)
-        if w.silent_since is not None and w.ready:
-            self._question(w)
-            self._later(now + TRIAL_AFTER * self._aim, "watch", w.info.id)
-        elif w.silent_since is None and w.out and now - w.heard < quiet:
-            self._later(w.heard + quiet, "watch", w.info.id)
-        elif w.silent_since is None and w.out:
-            if w.asked is not None and now - w.asked >= grace:
+        if silent or (w.out and now - w.heard >= quiet):
+            if not silent and w.asked is not None and now - w.asked >= grace:
                 return self._silence(w)
-            self._question(w)
-            self._later(now + grace, "watch", w.info.id)
+            if w.ready and (silent or w.asked is None):
+                self._question(w)
+            self._later(now + (TRIAL_AFTER * self._aim if silent else grace), "watch", w.info.id)
+        elif w.out:
+            self._later(w.heard + quiet, "watch", w.info.id)
 
     def _question(self, w: _Worker) -> None:
-        out_there = (f for f in self._functions.values() if w.info.id in f.out)
-        fn = next(out_there, None) or next(iter(self._functions.values()), None)
-        if fn is not None and (w.asked is None or w.silent_since is not None):
+        fn = next(iter(self._functions.values()), None)
+        if fn is not None and self._order(fn, w, ASK, RATION_HELD):
             w.asked = self._now if w.asked is None else w.asked
-            self._order(fn, w, ASK, RATION_HELD)
 
     def _silence(self, w: _Worker) -> None:
         ready = [o for o in self._workers.values() if o.ready]
@@ -538,21 +539,13 @@
                 req.avoid.append(w.info.id)
                 self._place(req)
 
-    def _rate(self, counted: bool = False) -> float:
-        """Answers to this front end per microsecond, lately; or the decayed count of them itself."""
-        span = RATE_SPAN * self._aim
-        count = self._served * math.exp((self._served_at - self._now) / span)
-        seen = 1 - math.exp(min(self._began - self._now, -self._s.tick - 1) / span)
-        return count if counted else count / span / seen
-
     def _pace(self, req: _Request, w: _Worker, took: int) -> None:
         ratio = min(10.0, took / max(1.0, float(req.hint or self._latency)))
         self._fleet += FLEET_GAIN * (ratio - self._fleet)
         if w.paced_at + self._keep < self._now:
             w.pace, w.samples = self._fleet, 0
         w.pace += PACE_GAIN * (ratio - w.pace)
-        w.samples += 1
-        w.paced_at = self._now
+        w.samples, w.paced_at = w.samples + 1, self._now
 
     def _slowness(self, w: _Worker) -> float:
         """Above 1 only where the pace against the cost hint is far from the fleet's: slow or shared machines.
@@ -564,13 +557,13 @@
     def _worn(self, w: _Worker) -> bool:
         """Slow, or far more of this front end's requests out there than elsewhere: lanes say how many a copy
         takes, not how many copies its worker's cores bear. Guards against hot workers. Harm: more copies."""
-        usual = self._out * self._weight(w) / sum(map(self._weight, self._workers.values()))
+        everyone = self._workers.values()
+        usual = sum(o.out for o in everyone) * self._weight(w) / sum(map(self._weight, everyone))
         return self._slowness(w) > 1 or w.out > CROWD_FROM * usual + CROWD_LEAST
 
     def _late(self, req: _Request) -> None:
-        """A late first attempt counts against its worker's pace before it ends, and a safe request gets one
-        second copy, elsewhere and warm. Guards against slow machines and lost answers alike; bounded by a
-        share of traffic and off in shortage. Harm: wasted work."""
+        """A late first attempt counts against its worker's pace; a safe request gets one second copy, warm
+        and elsewhere; few, none in shortage. For slow machines and lost answers. Harm: wasted work."""
         first = req.attempts[0]
         if first.warm and first.outcome is None:
             self._pace(req, self._workers[first.worker], self._now - first.sent)
@@ -591,17 +584,27 @@
         busy = sum(min(b, usual) for b in each)
         if self._now - self._began < self._aim or busy <= SHED_CHANCE**2:
             return 0.0
-        ahead = (busy - SHED_CHANCE * math.sqrt(busy)) / max(self._rate(), 1 / self._aim) / self._aim
+        ahead = (
+            (busy - SHED_CHANCE * math.sqrt(busy))
+            / max(self._served.lately(self._now), 1 / self._aim)
+            / self._aim
+        )
         return min(SHED_MOST, (ahead - SHED_FROM) / (SHED_FULL - SHED_FROM))
 
-    def _sheds(self, req: _Request) -> bool:
+    def _sheds(self, req: _Request, tenant: int) -> bool:
         """While the foretold time to answer nears the aim, those worth least are refused at once, so that the
-        rest are in time. Guards against overload, bursts, lost capacity. Harm: refusals if all are slow."""
-        worth = req.cls.worth
-        self._worths.append(worth)
-        below = sum(1 for x in self._worths if x < worth)
-        same = sum(1 for x in self._worths if x == worth)
-        return (below + self._rng.random() * same) / len(self._worths) < self._shortage()
+        rest are in time. What a tenant asks beyond its share of what is served counts as worth little.
+        Guards against overload, bursts, lost capacity. Harm: refusals if all are slow, or a slice is odd."""
+        worth, recent = req.cls.worth, self._recent
+        if tenant < len(self._s.tenants) and recent:
+            asked = sum(1 for _, t in recent if t == tenant) / len(recent)
+            asked *= self._came.lately(self._now)
+            if self._rng.random() * asked > self._s.tenants[tenant].share * self._served.lately(self._now):
+                worth *= self._s.over_share_worth
+        recent.append((worth, tenant))
+        below = sum(1 for x, _ in recent if x < worth)
+        same = sum(1 for x, _ in recent if x == worth)
+        return (below + self._rng.random() * same) / len(recent) < self._shortage()
 
     # The worker list
 
@@ -609,11 +612,9 @@
         if self._s.must_ask_list and (not self._asked_list or e.kind is ListKind.FAILED):
             self._later(self._now + self._asked_list * self._s.guards.ask_within / 8, "list", 0)
             self._asked_list = True
-        if e.kind is ListKind.FAILED:
-            return
         named = {info.id: info for info in e.workers}
         for wid, w in self._workers.items():
-            if wid not in named and e.kind is not ListKind.DELTA:
+            if wid not in named and e.kind in (ListKind.CACHED, ListKind.FULL):
                 self._leave(w)
         for wid, info in named.items():
             w = self._workers.setdefault(wid, _Worker(info, info.started_at))
