--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -372,9 +372,10 @@
         if not self._may_send(req, w):
             return False
         now, wid, fn = self._now, w.info.id, req.fn
-        req.attempts.append(_Attempt(wid, now, wid in fn.copies))
-        w.busy += wid in fn.copies
-        fn.copies.setdefault(wid, _Copy(now)).touched = now
+        copy = fn.copies.setdefault(wid, _Copy(now))
+        copy.touched = now
+        req.attempts.append(_Attempt(wid, now, copy.sure))
+        w.busy += copy.sure
         fn.out[wid] = fn.out.get(wid, 0) + 1
         w.out += 1
         w.heard = now if w.out == 1 else w.heard
