--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -178,6 +178,26 @@
     assert refused[0] / asked[0] > 3 * refused[1] / asked[1]
 
 
+def test_in_shortage_requests_without_a_free_lane_give_way() -> None:
+    """Overloaded days spent a third of their answers' number on loads that calls past the lanes had begun."""
+    rig = Rig(workers=4)
+    rig.warm(1, 2, function=7)
+    rig.warm(3, 4, function=8)
+    queue: list[tuple[int, int]] = []
+    refused, asked = [0, 0], [0, 0]
+    for n in range(1200):
+        rig.now += 5_000
+        tight = n % 2  # one function has a lane a copy, the other plenty
+        rig.ask(function=7 + tight, lanes=1 if tight else 64)
+        asked[tight] += 1
+        refused[tight] += len(of(api.Refuse, rig.actions))
+        queue += [(s.request, s.worker) for s in of(api.Send, rig.actions)]
+        if n % 4 and queue:
+            done, where = queue.pop(0)
+            rig.ended(done, 0, where, latency=SECOND)
+    assert refused[1] > 1.5 * refused[0]
+
+
 def test_no_refusal_in_the_first_seconds_of_a_front_end() -> None:
     """After a restart the rate of answers looked small, and ordinary traffic was refused."""
     rig = Rig(workers=4)
--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -20,16 +20,13 @@
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS))
 HEARD_FROM = frozenset((Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.MISS))
 ASK = 0  # copies in an order that only asks
-# Shares of the load ration that each purpose may fill; held requests may use all of it.
-RATION_HELD, RATION_OVERFLOW, RATION_RENEWAL = 1.0, 0.8, 0.5
+RATION_HELD, RATION_OVERFLOW, RATION_RENEWAL = 1.0, 0.8, 0.5  # shares of the load ration for each purpose
 RENEW_AFTER = 0.6  # of the keep-alive: late enough that traffic mostly renews, early enough to be in time
-# In use: asked for within so many keep-alives, and so often at all; one-off functions earn no renewals.
-RENEW_SPAN, RENEW_SEEN = 2.0, 2
+RENEW_SPAN, RENEW_SEEN = 2.0, 2  # in use: asked for within so many keep-alives, and so often; no one-offs
 LOAD_OVERDUE = 3.0  # times the usual load after which a scale-up no longer bars the next
 ORDER_BACKOFF, ORDER_DOUBLINGS = 0.5, 4  # of the usual load: wait after a failed order, doubled in a row
 ASK_WIDTH = 3  # workers of the hash order that are asked while the ration is spent
-# Usual latencies without a word from a worker with work out before it is asked; bounds of that in aims.
-QUIET_PACE, QUIET_LEAST, QUIET_MOST = 2.0, 0.1, 0.5
+QUIET_PACE, QUIET_LEAST, QUIET_MOST = 2.0, 0.1, 0.5  # usual latencies of quiet until asked; bounds in aims
 ECHO_TICKS, ECHO_LEAST = 16, 0.04  # ticks, and aims, until an unanswered question means silence
 SET_ASIDE_MOST = 0.5  # of the ready workers: beyond it the trouble is ours or everyone's
 TRIAL_AFTER = 0.5  # aims between questions to a silent worker
@@ -38,6 +35,7 @@
 SLOW_FROM, PACE_SAMPLES = 1.5, 4  # times the fleet's pace, on so many answers, make a worker slow
 CROWD_FROM, CROWD_LEAST = 1.3, 1  # times the mean requests out, and so many more, make a worker crowded
 SHED_FROM, SHED_FULL = 0.3, 0.7  # of the aim: time to answer at which refusals begin, and reach their most
+SHED_CROWDED = 0.5  # weight of the worth of a request with no free lane, which would cost a load besides
 SHED_MOST, SHED_CHANCE = 0.9, 1.0  # of the requests; deviations of the number in flight put down to chance
 RATE_SPAN, SHED_MEMORY = 2.0, 256  # aims over which rates are taken; requests that worth is ranked among
 HEDGE_AFTER, HEDGE_SHARE = 0.45, 0.05  # of the aim until a second copy; of the requests may get one
@@ -558,8 +556,8 @@
     def _worn(self, w: _Worker) -> bool:
         """Slow, or far more of this front end's requests out there than elsewhere: lanes say how many a copy
         takes, not how many copies its worker's cores bear. Guards against hot workers. Harm: more copies."""
-        everyone = self._workers.values()
-        usual = sum(o.out for o in everyone) * self._weight(w) / sum(map(self._weight, everyone))
+        all_out = sum(o.out for o in self._workers.values())
+        usual = all_out * self._weight(w) / sum(map(self._weight, self._workers.values()))
         return self._slowness(w) > 1 or w.out > CROWD_FROM * usual + CROWD_LEAST
 
     def _late(self, req: _Request) -> None:
@@ -602,6 +600,7 @@
             asked *= self._came.lately(self._now)
             if self._rng.random() * asked > self._s.tenants[tenant].share * self._served.lately(self._now):
                 worth *= self._s.over_share_worth
+        worth *= SHED_CROWDED if all(self._over(req.fn, w) for w in self._warm(req.fn)) else 1
         recent.append((worth, tenant))
         below = sum(1 for x, _ in recent if x < worth)
         same = sum(1 for x, _ in recent if x == worth)
