--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -17,11 +17,14 @@
 
 def test_stale_wakes_do_not_multiply() -> None:
     """Days stalled: each fired wake left another behind, and their number grew without end."""
-    rig = Rig(settings=replace(SETTINGS, may_load=False))
-    for _ in range(20):
-        rig.now += 1_000
+    spent = replace(SETTINGS.guards, load_window=SECOND)
+    rig = Rig(settings=replace(SETTINGS, guards=spent))
+    for _ in range(40):
+        rig.now += 30_000
         rig.ask()
-    assert len(of(api.SetTimer, rig.pass_time(2 * SECOND, step=4_000))) < 400
+        for hold in asks(rig.actions):
+            rig.feed(api.HoldEnded(hold.worker, 7, Outcome.FULL, 1_000, 0))
+    assert len([w for _, w, _ in rig.router._queue if w == "wake"]) <= 3
 
 
 def test_silent_worker_is_asked_then_set_aside_and_safe_work_moves() -> None:
