--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from tests.rig import KEEP, SECOND, SETTINGS, Rig, of, orders
+from tests.rig import KEEP, SECOND, SETTINGS, Rig, of, orders, worker
 from walnutpost import interface as api
 from walnutpost.rules import hash_rank
 
@@ -39,6 +39,14 @@
     assert [home(f, 3.0) for f in range(400)].count(1) > 1.6 * homes.count(1)
 
 
+def test_without_told_sizes_a_kinds_memory_weighs_in_the_hash_order() -> None:
+    rig = Rig(workers=0, settings=replace(SETTINGS, memory_by_kind=(4_000.0, 36_000.0)))
+    rig.listed(api.ListKind.FULL, *(replace(worker(i), kind=int(i == 1)) for i in range(1, 5)))
+    for function in range(300):
+        rig.ask(function)
+    assert sum(1 for o in orders(rig.all) if o.worker == 1) > 120
+
+
 def test_one_scale_up_in_flight_sized_from_demand() -> None:
     rig = Rig()
     rig.ask()  # held 1 + 1 over 2 lanes: one copy
--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -126,8 +126,6 @@
 
 
 class Router:
-    """One front end's decisions. Time comes with each event, randomness from the seed."""
-
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self._s = settings
         self._rng = Random(seed)
@@ -273,7 +271,10 @@
         return max(1, math.ceil(demand / fn.lanes))
 
     def _weight(self, w: _Worker) -> float:
-        return w.info.weight if self._s.weighted else 1.0
+        """Told size; else the root of its kind's told memory, since more cores are often slower."""
+        memory = self._s.memory_by_kind
+        plain = math.sqrt(memory[w.info.kind]) if w.info.kind < len(memory) else 1.0
+        return w.info.weight if self._s.weighted else plain
 
     def _hash_order(self, fn: _Function) -> list[_Worker]:
         ready = [w for w in self._workers.values() if w.ready]
@@ -333,15 +334,14 @@
 
     def _may_send(self, req: _Request, w: _Worker) -> bool:
         """Rules 1 to 4 for one send: unanswered, in time, repeat allowed, worker stays, cold budget kept."""
-        cls = req.cls
         if req.done or not w.ready or w.info.id in req.avoid or not self._may_try_again(req):
             return False
         for a in req.attempts:
-            if cls.effect is Effect.KEYED and a.outcome not in NEVER_RAN:
+            if req.cls.effect is Effect.KEYED and a.outcome not in NEVER_RAN:
                 first = self._workers[a.worker].info
-                other_zone = cls.group is Group.ZONE and first.zone != w.info.zone
-                other_cell = cls.group is Group.CELL and first.cell != w.info.cell
-                if other_zone or other_cell or self._now - a.sent > cls.window:
+                other_zone = req.cls.group is Group.ZONE and first.zone != w.info.zone
+                other_cell = req.cls.group is Group.CELL and first.cell != w.info.cell
+                if other_zone or other_cell or self._now - a.sent > req.cls.window:
                     return False
         return self._cold_room(w)
 
@@ -413,7 +413,6 @@
         self._close(req)
 
     def _close(self, req: _Request) -> None:
-        """Ends what is left of an answered request: attempts still out are called off."""
         for number, a in enumerate(req.attempts):
             if not (a.outcome or req.done or req.cls.stream) and self._s.limits.cancel:
                 self._actions.append(api.Cancel(req.id, number))
