--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -236,3 +236,25 @@
     odd = Rig(settings=bare)
     odd.ask(cls=200)
     assert orders(odd.actions)
+
+
+def test_begun_stream_has_no_deadline_and_gets_no_answer_of_ours() -> None:
+    rig = Rig(settings=replace(SETTINGS, classes=(replace(SETTINGS.classes[0], stream=True),)))
+    rig.warm(1)
+    rid = rig.ask()
+    where = of(api.Send, rig.actions)[0].worker
+    rig.feed(api.AnswerStarted(rid, 0, where, 50_000))
+    done = rig.pass_time(5 * SECOND)
+    assert not finals(done) and not [s for s in of(api.Send, done) if s.request == rid]
+    assert not of((api.Send, api.Refuse, api.Fail, api.Cancel), rig.ended(rid, 0, where, Outcome.RESET))
+
+
+def test_list_that_must_be_asked_for_is_followed_and_asked_again_after_a_failure() -> None:
+    asked = replace(SETTINGS, must_ask_list=True, guards=replace(SETTINGS.guards, ask_within=8 * SECOND))
+    rig = Rig(settings=asked)
+    assert of(api.FollowList, rig.pass_time(SECOND)) == [api.FollowList(True)]
+    rig.listed(api.ListKind.FAILED)
+    assert not of(api.FollowList, rig.pass_time(SECOND // 2))
+    assert of(api.FollowList, rig.pass_time(SECOND)) == [api.FollowList(True)]
+    rig.ask()
+    assert orders(rig.actions), "a failed list must not void the old one"
