--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -37,6 +37,7 @@
     assert at[safe] in {a.worker for a in asks(done)}
     moved = [s for s in of(api.Send, done) if s.request == safe]
     assert [s.worker for s in moved] == [at[unsafe]]
+    assert len(of(api.Log, done)) == 1
     rig.ask()
     assert {s.worker for s in of(api.Send, rig.actions)} <= {at[unsafe]}
 
--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -203,8 +203,8 @@
     def _arrive(self, e: api.RequestArrived) -> None:
         now = self._now
         fn = self._functions.setdefault(e.function, _Function(e.function))
-        fn.lanes, fn.load_time, fn.last_used = max(1, int(e.lanes)), e.load_time, now
-        fn.seen += 1
+        fn.lanes, fn.load_time = max(1, int(e.lanes)), e.load_time
+        fn.last_used, fn.seen = now, fn.seen + 1
         self._renew_later(fn)
         if self._s.guards.load_window > 0:
             self._taken.append(now)
@@ -356,11 +356,10 @@
     def _cold_room(self, w: _Worker) -> bool:
         """Rule 4: this front end's part of what a cold worker bears within any span. What warm workers are
         seen to serve for this front end stands for capacity, so the parts of all front ends add up."""
-        g, now = self._s.guards, self._now
-        age = now - w.started
+        g, age = self._s.guards, self._now - w.started
         if not w.started or age >= g.cold_for or g.overload_for <= 0:
             return True
-        while w.sends and w.sends[0] < now - g.overload_for:
+        while w.sends and w.sends[0] < self._now - g.overload_for:
             w.sends.popleft()
         strength = g.start_capacity + (1 - g.start_capacity) * max(0, age) / g.cold_for
         rate = self._served.lately(self._now) / (sum(1 for o in self._workers.values() if o.ready) or 1)
@@ -522,6 +521,7 @@
         aside = sum(1 for o in ready if o.silent_since is not None)
         if w.silent_since is None and aside + 1 <= SET_ASIDE_MOST * len(ready):
             w.silent_since, w.asked = self._now, None
+            self._actions.append(api.Log(f"worker {w.info.id} set aside as silent, {w.out} requests out"))
             self._void(w)
             self._later(self._now + TRIAL_AFTER * self._aim, "watch", w.info.id)
 
