--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -9,6 +9,7 @@
 
 from tests.rig import SECOND, SETTINGS, Rig, worker
 from walnutpost import interface as api
+from walnutpost.rules import hash_rank
 
 RATIONED = replace(
     SETTINGS, guards=replace(SETTINGS.guards, free_loads=2.0, load_share=0.2, load_window=5 * SECOND)
@@ -75,6 +76,18 @@
                     assert delay > 0
                     self.timers.append(now + delay)
 
+    def sums_hold(self) -> None:
+        """What the router keeps as it goes equals what it would find by looking at everything afresh."""
+        router = self.rig.router
+        assert router._all_out == len(self.out) == sum(w.out for w in router._workers.values())
+        assert router._all_weight == sum(w.weight for w in router._workers.values())
+        for fn in router._functions.values():
+            afresh = sorted(
+                (w for w in router._workers.values() if w.ready),
+                key=lambda w: -hash_rank(fn.key, w.info.id, router._weight(w.info)),
+            )
+            assert router._hash_order(fn) == afresh
+
     def advance(self, span: int) -> None:
         end = self.rig.now + span
         while due := [t for t in self.timers if t <= end]:
@@ -129,5 +142,6 @@
     referee = Referee(site, seed)
     for step in steps:
         referee.step(*step)
+        referee.sums_hold()
     referee.advance(4 * SECOND)
     assert not referee.open, "a request was never answered"
--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -51,11 +51,12 @@
     return -weight / math.log((x + 1) / (MASK + 2))
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Worker:
     info: api.Worker
     started: int  # start time told, or the return from a long silence; 0 is long ago
     ready: bool = True
+    weight: float = 1.0
     out: int = 0
     busy: int = 0  # of these, sent to a copy believed warm
     heard: int = 0
@@ -67,14 +68,14 @@
     sends: deque[int] = field(default_factory=lambda: deque(maxlen=512))  # for the cold budget
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Copy:
     touched: int
     count: int = 1
     sure: bool = False  # seen to stand, not only sent to
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Function:
     key: int
     lanes: int = 1
@@ -85,12 +86,14 @@
     out: dict[int, int] = field(default_factory=dict)  # own requests in flight, by worker
     held: dict[int, None] = field(default_factory=dict)
     pending: dict[int, int] = field(default_factory=dict)  # orders of the scale-up in flight
+    order: list[_Worker] = field(default_factory=list)  # all workers by hash rank, as of list number order_of
+    order_of: int = 0
     barred: dict[int, int] = field(default_factory=dict)  # worker -> no order before
     failures: int = 0
     next_try: int = 0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Attempt:
     worker: int
     sent: int
@@ -98,7 +101,7 @@
     outcome: Outcome | None = None
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Request:
     id: int
     cls: api.RequestClass
@@ -132,6 +135,7 @@
         self._now = 0
         self._actions: list[api.Action] = []
         self._workers: dict[int, _Worker] = {}
+        self._all_out, self._all_weight, self._list_number = 0, 1.0, 0  # kept, not summed for each request
         self._functions: dict[int, _Function] = {}
         self._requests: dict[int, _Request] = {}
         self._queue: list[tuple[int, str, int]] = []
@@ -227,8 +231,7 @@
             req.fn.held[req.id] = None
         else:
             self._send(req, worker)
-        if over:
-            self._scale_up(req.fn)
+        self._scale_up(req.fn) if over else None
 
     def _over(self, fn: _Function, w: _Worker) -> bool:
         """No room: lanes taken, or a slow or crowded worker."""
@@ -236,14 +239,14 @@
 
     def _warm(self, fn: _Function) -> list[_Worker]:
         """Workers believed to hold a copy; belief lapses after the keep-alive unless work is out there."""
-        lapsed = [k for k, c in fn.copies.items() if c.touched + self._keep < self._now and k not in fn.out]
-        for key in lapsed:
+        since = self._now - self._keep
+        for key in [k for k, c in fn.copies.items() if c.touched < since and k not in fn.out]:
             del fn.copies[key]
         return [w for w in map(self._workers.__getitem__, fn.copies) if w.ready and w.silent_since is None]
 
     def _choose(self, req: _Request) -> _Worker | None:
         def busy(w: _Worker) -> tuple[bool, float, float]:
-            out = (w.out + 1) * self._slowness(w) / self._weight(w)
+            out = (w.out + 1) * self._slowness(w) / w.weight
             return self._over(req.fn, w), out, self._rng.random()
 
         return min((w for w in self._warm(req.fn) if self._may_send(req, w)), key=busy, default=None)
@@ -270,22 +273,24 @@
         demand = sum(fn.out.get(w.info.id, 0) for w in warm) + len(fn.held) + 1
         return max(1, math.ceil(demand / fn.lanes))
 
-    def _weight(self, w: _Worker) -> float:
+    def _weight(self, info: api.Worker) -> float:
         """Told size; else the root of its kind's told memory, since more cores are often slower."""
-        memory = self._s.memory_by_kind
-        plain = math.sqrt(memory[w.info.kind]) if w.info.kind < len(memory) else 1.0
-        return w.info.weight if self._s.weighted else plain
+        memory = self._s.memory_by_kind[info.kind : info.kind + 1]
+        return info.weight if self._s.weighted else math.sqrt(sum(memory) or 1.0)
 
     def _hash_order(self, fn: _Function) -> list[_Worker]:
-        ready = [w for w in self._workers.values() if w.ready]
-        return sorted(ready, key=lambda w: -hash_rank(fn.key, w.info.id, self._weight(w)))
+        if fn.order_of != self._list_number:
+            fn.order_of = self._list_number
+            fn.order = sorted(self._workers.values(), key=lambda w: -hash_rank(fn.key, w.info.id, w.weight))
+        return [w for w in fn.order if w.ready]
 
     def _scale_up(self, fn: _Function) -> None:
         now = self._now
         overdue = LOAD_OVERDUE * self._usual_load(fn)
         barred_until = max(fn.next_try, max(fn.pending.values(), default=-overdue) + overdue)
         if now < barred_until:  # one scale-up at a time, and a back-off after a failed one
-            return self._later(barred_until, "wake", fn.key)
+            self._later(barred_until, "wake", fn.key)
+            return
         warm = self._warm(fn)
         lacking = self._target(fn, warm) - sum(fn.copies[w.info.id].count for w in warm)
         if warm and self._shortage() > 0:
@@ -301,7 +306,6 @@
             if now not in fn.pending.values():
                 self._without_order(fn, [w for w in fit if fn.barred.get(w.info.id, 0) <= now] or fit)
             self._later(now + self._usual_load(fn) / 4, "wake", fn.key)
-        return None
 
     def _without_order(self, fn: _Function, order: list[_Worker]) -> None:
         """Requests held, ration spent or orders barred: they go to the first of the hash order and load
@@ -375,6 +379,7 @@
         w.busy += copy.sure
         fn.out[wid] = fn.out.get(wid, 0) + 1
         w.out += 1
+        self._all_out += 1
         w.heard = now if w.out == 1 else w.heard
         w.sends.append(now)
         self._actions.append(api.Send(req.id, wid, req.expires - now))
@@ -430,6 +435,7 @@
         w, copy = self._workers[a.worker], fn.copies.get(a.worker)
         a.outcome = e.outcome
         w.out -= 1
+        self._all_out -= 1
         w.busy -= a.warm
         fn.out[a.worker] -= 1
         if not fn.out[a.worker]:
@@ -459,13 +465,11 @@
 
     def _hold_ended(self, e: api.HoldEnded) -> None:
         w, fn = self._workers.get(e.worker), self._functions.get(e.function)
-        if w is None:
-            return
-        if e.outcome in HEARD_FROM:
+        if w is not None and e.outcome in HEARD_FROM:
             self._hear(w)
-        elif e.outcome is not Outcome.TIMEOUT:
+        elif w is not None and e.outcome is not Outcome.TIMEOUT:
             self._silence(w)
-        if fn is None:
+        if w is None or fn is None:
             return
         if e.outcome is Outcome.OK and not e.copies:
             fn.copies.pop(e.worker, None) if e.worker not in fn.out else None
@@ -549,14 +553,12 @@
         """Above 1 only where the pace against the cost hint is far from the fleet's: slow or shared machines.
         Few costly requests don't show. Lapses without news, for a new trial. Harm: chance on few answers."""
         known = w.samples >= PACE_SAMPLES and w.paced_at + self._keep >= self._now
-        ratio = w.pace / self._fleet if known else 1.0
-        return ratio if ratio >= SLOW_FROM else 1.0
+        return w.pace / self._fleet if known and w.pace >= SLOW_FROM * self._fleet else 1.0
 
     def _worn(self, w: _Worker) -> bool:
         """Slow, or far more of this front end's requests out there than elsewhere: lanes say how many a copy
         takes, not how many copies its worker's cores bear. Guards against hot workers. Harm: more copies."""
-        all_out = sum(o.out for o in self._workers.values())
-        usual = all_out * self._weight(w) / sum(map(self._weight, self._workers.values()))
+        usual = self._all_out * w.weight / self._all_weight
         return self._slowness(w) > 1 or w.out > CROWD_FROM * usual + CROWD_LEAST
 
     def _late(self, req: _Request) -> None:
@@ -582,11 +584,8 @@
         busy = sum(min(b, usual) for b in each)
         if self._now - self._began < self._aim or busy <= SHED_CHANCE**2:
             return 0.0
-        ahead = (
-            (busy - SHED_CHANCE * math.sqrt(busy))
-            / max(self._served.lately(self._now), 1 / self._aim)
-            / self._aim
-        )
+        rate = max(self._served.lately(self._now), 1 / self._aim)
+        ahead = (busy - SHED_CHANCE * math.sqrt(busy)) / rate / self._aim
         return min(SHED_MOST, (ahead - SHED_FROM) / (SHED_FULL - SHED_FROM))
 
     def _sheds(self, req: _Request, tenant: int) -> bool:
@@ -601,8 +600,7 @@
                 worth *= self._s.over_share_worth
         worth *= SHED_CROWDED if all(self._over(req.fn, w) for w in self._warm(req.fn)) else 1
         recent.append((worth, tenant))
-        below = sum(1 for x, _ in recent if x < worth)
-        same = sum(1 for x, _ in recent if x == worth)
+        below, same = sum(x < worth for x, _ in recent), sum(x == worth for x, _ in recent)
         return (below + self._rng.random() * same) / len(recent) < self._shortage()
 
     # The worker list
@@ -620,9 +618,11 @@
             if info.started_at > w.info.started_at:
                 self._void(w)
                 w.started, w.silent_since, w.asked, w.samples = info.started_at, None, None, 0
-            w.info, w.ready = info, info.state is WorkerState.READY
+            w.info, w.ready, w.weight = info, info.state is WorkerState.READY, self._weight(info)
             if not w.ready:
                 self._leave(w, info.state is WorkerState.GONE)
+        self._list_number += 1
+        self._all_weight = sum(w.weight for w in self._workers.values())
         for fn in list(self._functions.values()):
             if fn.held:
                 self._release(fn)
