--- a/walnutpost/adapter/codec.py
+++ b/walnutpost/adapter/codec.py
@@ -404,6 +404,7 @@
         ),
         zone=told.whole("MyZone"),
         front_ends=told.whole("Siblings"),
+        index=told.whole("SelfIndex"),
         tick=told.whole("Quantum"),
         keep_alive=extra.whole("KeepAlive"),
         order_timeout=extra.whole("OrderLimit"),
--- a/walnutpost/interface.py
+++ b/walnutpost/interface.py
@@ -126,6 +126,7 @@
     prices: Prices
     zone: int
     front_ends: int
+    index: int
     tick: int
     keep_alive: int
     order_timeout: int
--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -25,6 +25,8 @@
 RENEW_SPAN, RENEW_SEEN = 2.0, 2  # in use: asked for within so many keep-alives, and so often; no one-offs
 LOAD_OVERDUE = 3.0  # times the usual load after which a scale-up no longer bars the next
 ORDER_BACKOFF, ORDER_DOUBLINGS = 0.5, 4  # of the usual load: wait after a failed order, doubled in a row
+SPREAD, SHARE_SPAN = 4.0, 2.0  # copies a worker's worth of traffic is spread to; keep-alives it is seen over
+LASTING, RENEWED = 4.0, 3.0  # keep-alives that belief lasts where others' calls renew a copy so often in one
 ASK_WIDTH = 3  # workers of the hash order that are asked while the ration is spent
 QUIET_PACE, QUIET_LEAST, QUIET_MOST = 2.0, 0.1, 0.5  # usual latencies of quiet until asked; bounds in aims
 ECHO_TICKS, ECHO_LEAST = 16, 0.04  # ticks, and aims, until an unanswered question means silence
@@ -38,7 +40,7 @@
 SHED_CROWDED = 0.5  # weight of the worth of a request with no free lane, which would cost a load besides
 SHED_MOST, SHED_CHANCE = 0.9, 1.0  # of the requests; deviations of the number in flight put down to chance
 RATE_SPAN, SHED_MEMORY = 2.0, 256  # aims over which rates are taken; requests that worth is ranked among
-HEDGE_AFTER, HEDGE_SHARE = 0.45, 0.05  # of the aim until a second copy; of the requests may get one
+TURN_STEP, TURN_SHIFT = 0.6180339887, 0.7548776662  # irrational, so turns fall evenly on front ends and spans
 MASK = (1 << 64) - 1
 
 
@@ -89,6 +91,8 @@
     order: list[_Worker] = field(default_factory=list)  # all workers by hash rank, as of list number order_of
     order_of: int = 0
     barred: dict[int, int] = field(default_factory=dict)  # worker -> no order before
+    calls: float = 0.0  # lately; older ones weigh less
+    calls_at: int = 0
     failures: int = 0
     next_try: int = 0
 
@@ -136,6 +140,7 @@
         self._actions: list[api.Action] = []
         self._workers: dict[int, _Worker] = {}
         self._all_out, self._all_weight, self._list_number = 0, 1.0, 0  # kept, not summed for each request
+        self._ready, self._any = 0, _Function(0)  # any: the calls of all functions
         self._functions: dict[int, _Function] = {}
         self._requests: dict[int, _Request] = {}
         self._queue: list[tuple[int, str, int]] = []
@@ -151,7 +156,6 @@
         self._began = 0
         self._came, self._served = _Rate(RATE_SPAN * self._aim), _Rate(RATE_SPAN * self._aim)
         self._recent: deque[tuple[float, int]] = deque(maxlen=SHED_MEMORY)
-        self._hedges = 0.0
         self._asked_list = False
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -195,8 +199,6 @@
             self._actions.append(api.FollowList(True))
         elif what == "deadline" and req:
             self._answer(req)
-        elif what == "late" and req and not req.done:
-            self._late(req)
         elif what == "renew" and fn:
             self._renew(fn)
         elif what == "wake" and fn:
@@ -208,6 +210,8 @@
         now = self._now
         fn = self._functions.setdefault(e.function, _Function(e.function))
         fn.lanes, fn.load_time = max(1, int(e.lanes)), e.load_time
+        for tally in (fn, self._any):
+            tally.calls, tally.calls_at = self._calls(tally) + 1, now
         fn.last_used, fn.seen = now, fn.seen + 1
         self._renew_later(fn)
         if self._s.guards.load_window > 0:
@@ -218,15 +222,13 @@
         self._requests[e.request] = req
         if e.time_left <= 0 or self._sheds(req, e.tenant):
             return self._answer(req)
-        self._hedges = min(10.0, self._hedges + HEDGE_SHARE)
-        # A tick early: the answer must be out before the client leaves.
-        self._later(req.expires - self._s.tick, "deadline", req.id)
+        self._later(req.expires - self._s.tick, "deadline", req.id)  # out before the client leaves
         self._place(req)
 
     def _place(self, req: _Request) -> None:
         """The design's path: least-busy warm worker, over target too; hold only while nothing is warm."""
         worker = self._choose(req)
-        over = worker is None or self._over(req.fn, worker)
+        over = worker is None or self._over(req.fn, worker) or len(req.fn.copies) < self._spread(req.fn)
         if worker is None:
             req.fn.held[req.id] = None
         else:
@@ -239,7 +241,8 @@
 
     def _warm(self, fn: _Function) -> list[_Worker]:
         """Workers believed to hold a copy; belief lapses after the keep-alive unless work is out there."""
-        since = self._now - self._keep
+        others = self._calls(fn) / SHARE_SPAN * (self._s.front_ends - 1) >= RENEWED * len(fn.copies)
+        since = self._now - self._keep * (LASTING if others else 1)
         for key in [k for k, c in fn.copies.items() if c.touched < since and k not in fn.out]:
             del fn.copies[key]
         return [w for w in map(self._workers.__getitem__, fn.copies) if w.ready and w.silent_since is None]
@@ -271,7 +274,18 @@
 
     def _target(self, fn: _Function, warm: list[_Worker]) -> int:
         demand = sum(fn.out.get(w.info.id, 0) for w in warm) + len(fn.held) + 1
-        return max(1, math.ceil(demand / fn.lanes))
+        return max(1, math.ceil(demand / fn.lanes), self._spread(fn))
+
+    def _calls(self, fn: _Function) -> float:
+        return fn.calls * math.exp((fn.calls_at - self._now) / (SHARE_SPAN * self._keep))
+
+    def _spread(self, fn: _Function) -> int:
+        """A slice hides how busy a function is everywhere, but shows its share of all calls, less what chance
+        explains: its copies go to that share of the workers, times over, so that none carries much of it.
+        Guards against hot workers under many front ends. Harm: memory and fetches."""
+        calls = self._calls(fn)
+        share = (calls - math.sqrt(calls)) / (self._calls(self._any) + 1)
+        return math.ceil(min(SPREAD * share, 1.0) * self._ready * (1 - 1 / max(1, self._s.front_ends)))
 
     def _weight(self, info: api.Worker) -> float:
         """Told size; else the root of its kind's told memory, since more cores are often slower."""
@@ -359,15 +373,18 @@
 
     def _cold_room(self, w: _Worker) -> bool:
         """Rule 4: this front end's part of what a cold worker bears within any span. What warm workers are
-        seen to serve for this front end stands for capacity, so the parts of all front ends add up."""
+        seen to serve for this front end stands for capacity, so the parts of all front ends add up. A part
+        below one send is a turn in so many spans: at least one from each would push it over."""
         g, age = self._s.guards, self._now - w.started
         if not w.started or age >= g.cold_for or g.overload_for <= 0:
             return True
         while w.sends and w.sends[0] < self._now - g.overload_for:
             w.sends.popleft()
         strength = g.start_capacity + (1 - g.start_capacity) * max(0, age) / g.cold_for
-        rate = self._served.lately(self._now) / (sum(1 for o in self._workers.values() if o.ready) or 1)
-        return len(w.sends) < max(1.0, COLD_CAUTION * g.overload_factor * strength * rate * g.overload_for)
+        rate = self._served.lately(self._now) / (self._ready or 1)
+        budget = COLD_CAUTION * g.overload_factor * strength * rate * g.overload_for
+        turn = ((self._s.index + w.info.id) * TURN_STEP + self._now // g.overload_for * TURN_SHIFT) % 1
+        return len(w.sends) < (budget if budget >= 1 else turn < budget)
 
     def _send(self, req: _Request, w: _Worker) -> bool:
         if not self._may_send(req, w):
@@ -384,9 +401,6 @@
         w.sends.append(now)
         self._actions.append(api.Send(req.id, wid, req.expires - now))
         self._later(now + QUIET_LEAST * self._aim, "watch", wid)
-        if len(req.attempts) == 1:
-            usual = (req.hint or 0) * self._fleet
-            self._later(now + max(HEDGE_AFTER * req.cls.aim, 3 * usual), "late", req.id)
         return True
 
     def _order(self, fn: _Function, w: _Worker, copies: int, part: float) -> bool:
@@ -409,9 +423,8 @@
         """Rules 1 and 2: one final answer; a refusal only where trying again is harmless."""
         if req.done:
             return
-        ran = any(a.outcome not in NEVER_RAN for a in req.attempts)
-        keyed_all = req.cls.effect is Effect.KEYED and req.cls.group is Group.ALL
-        harmless = req.cls.effect is Effect.SAFE or keyed_all or not ran
+        effect, ran = req.cls.effect, any(a.outcome not in NEVER_RAN for a in req.attempts)
+        harmless = effect is Effect.SAFE or not ran or (effect, req.cls.group) == (Effect.KEYED, Group.ALL)
         after = min(self._s.limits.max_retry_after, req.cls.aim // 4) if self._s.limits.retry_after else 0
         self._actions.append(api.Refuse(req.id, after) if harmless else api.Fail(req.id))
         self._close(req)
@@ -561,19 +574,6 @@
         usual = self._all_out * w.weight / self._all_weight
         return self._slowness(w) > 1 or w.out > CROWD_FROM * usual + CROWD_LEAST
 
-    def _late(self, req: _Request) -> None:
-        """A late first attempt counts against its worker's pace; a safe request gets one second copy, warm
-        and elsewhere; few, none in shortage. For slow machines and lost answers. Harm: wasted work."""
-        first = req.attempts[0]
-        if first.warm and first.outcome is None:
-            self._pace(req, self._workers[first.worker], self._now - first.sent)
-        if self._hedges < 1 or self._shortage() > 0 or req.id in req.fn.held or not self._may_try_again(req):
-            return
-        req.avoid.extend(a.worker for a in req.attempts)
-        worker = self._choose(req)
-        if worker is not None and not self._over(req.fn, worker) and self._send(req, worker):
-            self._hedges -= 1
-
     # Shortage
 
     def _shortage(self) -> float:
@@ -622,6 +622,7 @@
             if not w.ready:
                 self._leave(w, info.state is WorkerState.GONE)
         self._list_number += 1
+        self._ready = sum(w.ready for w in self._workers.values())
         self._all_weight = sum(w.weight for w in self._workers.values())
         for fn in list(self._functions.values()):
             if fn.held:
