--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -85,6 +85,9 @@
     rig.pass_time(SECOND, step=4_000)
     rig.ended(rid, 1, 3 - lost)
     rig.feed(api.HoldEnded(lost, 7, Outcome.OK, 1_000, 1))
+    for _ in range(10):  # answers enough that four at once are no shortage
+        rid = rig.ask()
+        rig.ended(rid, 0, of(api.Send, rig.actions)[0].worker)
     chosen = {s.worker for _ in range(4) for s in of(api.Send, _ask(rig))}
     assert chosen == {1, 2}
 
--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
+from itertools import islice
 from random import Random
 
 from . import interface as api
@@ -20,13 +21,14 @@
 HEARD_FROM = frozenset((Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.MISS))
 RATION_HELD, RATION_OVERFLOW, RATION_RENEWAL = 1.0, 0.8, 0.5  # shares of the load ration for each purpose
 RENEW_AFTER = 0.6  # of the keep-alive: late enough that traffic mostly renews, early enough to be in time
-RENEW_SPAN, RENEW_SEEN = 2.0, 2  # in use: asked for within so many keep-alives, and so often; no one-offs
+RENEW_CALLS = 0.75  # in use: so many calls, older ones weighing less; one-offs have fewer by then
 LOAD_OVERDUE = 3.0  # times the usual load after which a scale-up no longer bars the next
 ORDER_BACKOFF, ORDER_DOUBLINGS = 0.5, 4  # of the usual load: wait after a failed order, doubled in a row
 SPREAD, SHARE_SPAN = 8.0, 2.0  # copies a worker's worth of traffic is spread to; keep-alives it is seen over
 LASTING, RENEWED = 4.0, 3.0  # keep-alives that belief lasts where others' calls renew a copy so often in one
 ASK, ASK_WIDTH = 0, 3  # copies in an order that only asks; workers that are asked while the ration is spent
 QUIET_PACE, QUIET_LEAST, QUIET_MOST = 2.0, 0.1, 0.5  # usual latencies of quiet until asked; bounds in aims
+RENEW_GRAIN = 0.03  # keep-alives that renewals are rounded up to: many functions share a timer
 ECHO_TICKS, ECHO_LEAST = 16, 0.04  # ticks, and aims, until an unanswered question means silence
 SET_ASIDE_MOST, TRIAL_AFTER = 0.5, 0.5  # of the ready workers; aims between questions to a silent one
 COLD_CAUTION = 0.6  # of the derived budget: workers differ, and so do the front ends' slices
@@ -100,8 +102,6 @@
     calls: _Rate
     lanes: int = 1
     load_time: int = 0
-    seen: int = 0
-    last_used: int = 0
     copies: dict[int, _Copy] = field(default_factory=dict)  # believed warm
     out: dict[int, int] = field(default_factory=dict)  # own requests in flight, by worker
     held: dict[int, None] = field(default_factory=dict)
@@ -140,8 +140,7 @@
         self._now = 0
         self._actions: list[api.Action] = []
         self._workers: dict[int, _Worker] = {}
-        self._all_out, self._all_weight, self._ready = 0, 1.0, 0  # kept, not summed for each request
-        self._list_number = 0
+        self._all_out, self._all_weight, self._ready, self._list_number = 0, 1.0, 0, 0  # kept, not summed
         self._functions: dict[int, _Function] = {}
         self._requests: dict[int, _Request] = {}
         self._queue: list[tuple[int, str, int]] = []
@@ -211,7 +210,6 @@
         now = self._now
         fn = self._functions.setdefault(e.function, _Function(e.function, _Rate(SHARE_SPAN * self._keep)))
         fn.lanes, fn.load_time = max(1, int(e.lanes)), e.load_time
-        fn.last_used, fn.seen = now, fn.seen + 1
         self._renew_later(fn)
         if self._s.guards.load_window > 0:
             self._taken.append(now)
@@ -249,8 +247,7 @@
 
     def _choose(self, req: _Request) -> _Worker | None:
         def busy(w: _Worker) -> tuple[bool, float, float]:
-            out = (w.out + 1) * self._slowness(w) / w.weight
-            return self._over(req.fn, w), out, self._rng.random()
+            return self._over(req.fn, w), (w.out + 1) * self._slowness(w) / w.weight, self._rng.random()
 
         return min((w for w in self._warm(req.fn) if self._may_send(req, w)), key=busy, default=None)
 
@@ -306,14 +303,15 @@
         if warm and self._shortage() > 0:
             lacking = 0  # more copies add no cores, and their loads take some
         lacking = max(lacking, int(all(map(self._worn, warm))))  # one elsewhere if all are slow or crowded
-        fit = [w for w in self._hash_order(fn) if w.silent_since is None and not self._worn(w)]
+        fit = [w for w in self._hash_order(fn) if w.silent_since is None]
         known = {**fn.copies, **fn.pending, **{k: t for k, t in fn.barred.items() if t > now}}
-        for w in [w for w in fit if w.info.id not in known][:lacking]:
+        for w in islice((w for w in fit if w.info.id not in known and not self._worn(w)), max(0, lacking)):
             if self._order(fn, w, 1, RATION_HELD if fn.held else RATION_OVERFLOW):
                 fn.pending[w.info.id] = now
         if fn.held:
             if now not in fn.pending.values():
-                self._without_order(fn, [w for w in fit if fn.barred.get(w.info.id, 0) <= now] or fit)
+                free = (w for w in fit if fn.barred.get(w.info.id, 0) <= now and not self._worn(w))
+                self._without_order(fn, list(islice(free, ASK_WIDTH + self._s.limits.max_attempts)) or fit)
             self._later(now + self._usual_load(fn) / 4, "wake", fn.key)
         return None
 
@@ -330,7 +328,7 @@
     def _renew(self, fn: _Function) -> None:
         """Copies in use, up to the target, that traffic has not renewed itself; others lapse."""
         now, warm = self._now, self._warm(fn)
-        if now - fn.last_used <= RENEW_SPAN * self._keep and fn.seen >= RENEW_SEEN:
+        if fn.calls.weighed(now) >= RENEW_CALLS:
             believed = [w for w in self._hash_order(fn) if w in warm]
             for w in believed[: self._target(fn, warm)]:
                 if now - fn.copies[w.info.id].touched >= RENEW_AFTER * self._keep * 0.9:
@@ -342,7 +340,8 @@
 
     def _renew_later(self, fn: _Function) -> None:
         due = min((c.touched for c in fn.copies.values()), default=self._now) + RENEW_AFTER * self._keep
-        self._later(max(due, self._now + self._keep / 8), "renew", fn.key)
+        grain = RENEW_GRAIN * self._keep
+        self._later((max(due, self._now + self._keep / 8) // grain + 1) * grain, "renew", fn.key)
 
     # Choke points: the only places that emit sends, hold orders and final answers
 
@@ -392,7 +391,7 @@
         w.heard = now if w.out == 1 else w.heard
         w.sends.append(now)
         self._actions.append(api.Send(req.id, wid, req.expires - now))
-        self._later(now + QUIET_LEAST * self._aim, "watch", wid)
+        self._later(now + QUIET_PACE * self._latency, "watch", wid)
         return True
 
     def _order(self, fn: _Function, w: _Worker, copies: int, part: float) -> bool:
@@ -401,10 +400,9 @@
             return False
         g, now = self._s.guards, self._now
         if copies > ASK and g.load_window > 0:
-            while self._orders and self._orders[0] < now - g.load_window:
-                self._orders.popleft()
-            while self._taken and self._taken[0] <= now - g.load_window:
-                self._taken.popleft()
+            for past, end in ((self._orders, now - g.load_window - 1), (self._taken, now - g.load_window)):
+                while past and past[0] <= end:
+                    past.popleft()
             if len(self._orders) + 1 > part * (g.free_loads + g.load_share * len(self._taken)):
                 return False
             self._orders.append(now)
@@ -447,7 +445,13 @@
             del fn.out[a.worker]
         if e.outcome in HEARD_FROM:
             self._hear(w)
-            self._told(w, e)
+            busy = dict(zip(self._s.report_fields, e.report, strict=False)).get("busy")
+            if busy is not None:  # in a thin slice the best sight of the others' calls
+                strain = 1 / (1 + 1 / BUSY_MOST - min(1.0, busy))
+                self._strained += FLEET_GAIN * (strain - self._strained)
+                self._sign(w, strain / self._strained, 2 * self._others)
+            if e.outcome is Outcome.FULL:
+                self._sign(w, FULL_SIGN, 1)
         refused_load = e.outcome is Outcome.FULL and copy is not None and not copy.sure
         if e.outcome is Outcome.OK:
             if copy is not None:
@@ -549,15 +553,6 @@
         self._fleet += FLEET_GAIN * (ratio - self._fleet)
         self._sign(w, ratio / self._fleet, 1)
 
-    def _told(self, w: _Worker, e: api.AttemptEnded) -> None:
-        busy = dict(zip(self._s.report_fields, e.report, strict=False)).get("busy", -1.0)
-        if busy >= 0:
-            strain = 1 / (1 + 1 / BUSY_MOST - min(1.0, busy))
-            self._strained += FLEET_GAIN * (strain - self._strained)
-            self._sign(w, strain / self._strained, 2 * self._others)  # the best sight of others' calls
-        if e.outcome is Outcome.FULL:
-            self._sign(w, FULL_SIGN, 1)
-
     def _sign(self, w: _Worker, strain: float, weight: float) -> None:
         fade = math.exp((w.signed_at - self._now) / (SIGN_SPAN * self._keep))
         w.signs, w.strain, w.signed_at = w.signs * fade + weight, w.strain * fade + weight * strain, self._now
@@ -581,8 +576,9 @@
     def _shortage(self) -> float:
         """The share of requests to refuse. Requests in flight on warm copies over the rate of answers tell
         the time to answer at once; late answers would tell it too late and make refusals swing."""
-        each = sorted(w.busy for w in self._workers.values() if w.silent_since is None and w.ready) or [0]
-        busy = sum(min(b, 2 * each[len(each) // 2] + 1) for b in each)  # a few slow workers are no shortage
+        each = sorted([w.busy for w in self._workers.values() if w.busy and w.ready and not w.silent_since])
+        median = each[-(self._ready + 1) // 2] if 2 * len(each) > self._ready else 0
+        busy = sum(min(b, 2 * median + 1) for b in each)  # a few slow workers are no shortage
         if self._now - self._began < self._aim or busy <= SHED_CHANCE**2:
             return 0.0
         rate = max(self._served.lately(self._now), 1 / self._aim)
@@ -593,7 +589,7 @@
         """While the foretold time to answer nears the aim, those worth least are refused at once, so that the
         rest are in time. What a tenant asks beyond its share of what is served counts as worth little.
         Guards against overload, bursts, lost capacity. Harm: refusals if all are slow, or a slice is odd."""
-        worth, recent = req.cls.worth, self._recent
+        worth, recent, shortage = req.cls.worth, self._recent, self._shortage()
         if tenant < len(self._s.tenants) and recent:
             asked = sum(1 for _, t in recent if t == tenant) / len(recent)
             asked *= self._came.lately(self._now)
@@ -601,8 +597,10 @@
                 worth *= self._s.over_share_worth
         worth *= SHED_CROWDED if all(self._over(req.fn, w) for w in self._warm(req.fn)) else 1
         recent.append((worth, tenant))
+        if shortage <= 0:
+            return False
         below, same = sum(x < worth for x, _ in recent), sum(x == worth for x, _ in recent)
-        return (below + self._rng.random() * same) / len(recent) < self._shortage()
+        return (below + self._rng.random() * same) / len(recent) < shortage
 
     # The worker list
 
@@ -611,6 +609,7 @@
             self._later(self._now + self._asked_list * self._s.guards.ask_within / 8, "list", 0)
             self._asked_list = True
         named = {info.id: info for info in e.workers}
+        weights = [w.weight for w in self._workers.values()]
         for wid, w in self._workers.items():
             if wid not in named and e.kind in (ListKind.CACHED, ListKind.FULL):
                 self._leave(w)
@@ -622,7 +621,7 @@
             w.info, w.ready, w.weight = info, info.state is WorkerState.READY, self._weight(info)
             if not w.ready:
                 self._leave(w, info.state is WorkerState.GONE)
-        self._list_number += 1
+        self._list_number += weights != [w.weight for w in self._workers.values()]  # else the orders stay
         self._ready = sum(w.ready for w in self._workers.values())
         self._all_weight = sum(w.weight for w in self._workers.values())
         for fn in list(self._functions.values()):
