--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -449,7 +449,7 @@
             if busy is not None:  # in a thin slice the best sight of the others' calls
                 strain = 1 / (1 + 1 / BUSY_MOST - min(1.0, busy))
                 self._strained += FLEET_GAIN * (strain - self._strained)
-                self._sign(w, strain / self._strained, 2 * self._others)
+                self._sign(w, strain / self._strained, 2 * self._others**3)
             if e.outcome is Outcome.FULL:
                 self._sign(w, FULL_SIGN, 1)
         refused_load = e.outcome is Outcome.FULL and copy is not None and not copy.sure
