--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -312,3 +312,19 @@
     assert rig.router._slowness(slow) > 3
     rig.router._now += 3 * KEEP
     assert rig.router._slowness(slow) == 1.0
+
+
+def test_copies_that_the_others_calls_renew_are_not_renewed_by_order() -> None:
+    """At 70 front ends four orders went out a request, nearly all for copies that others kept in use."""
+
+    def renewals(front_ends: int) -> int:
+        rig = Rig(1, replace(SETTINGS, front_ends=front_ends, keep_alive=KEEP))
+        rig.warm(1)
+        for _ in range(4):
+            rig.now += SECOND // 10
+            rid = rig.ask()
+            rig.ended(rid, 0, of(api.Send, rig.actions)[0].worker)
+        return len(orders(rig.pass_time(KEEP, step=100_000)))
+
+    assert renewals(1) >= 1
+    assert renewals(70) == 0
--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -152,11 +152,10 @@
         self._aim = max(1, min((c.aim for c in settings.classes), default=1))
         self._latency, self._load = 0.25 * self._aim, 0.5 * self._aim  # usual, until seen
         self._fleet, self._strained = 1.0, 1.0  # mean pace and strain
-        self._began = 0
+        self._began, self._asked_list = 0, False
         self._others = 1 - 1 / max(1, settings.front_ends)  # part of all calls that others send
         self._came, self._served = _Rate(SHARE_SPAN * self._keep), _Rate(RATE_SPAN * self._aim)
         self._recent: deque[tuple[float, int]] = deque(maxlen=SHED_MEMORY)
-        self._asked_list = False
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         self._now, self._actions = now, []
@@ -239,8 +238,7 @@
 
     def _warm(self, fn: _Function) -> list[_Worker]:
         """Workers believed to hold a copy; belief lapses after the keep-alive unless work is out there."""
-        others = fn.calls.weighed(self._now) / SHARE_SPAN * (self._s.front_ends - 1)
-        since = self._now - self._keep * (LASTING if others >= RENEWED * len(fn.copies) else 1)
+        since = self._now - self._keep * (LASTING if self._kept(fn) else 1)
         for key in [k for k, c in fn.copies.items() if c.touched < since and k not in fn.out]:
             del fn.copies[key]
         return [w for w in map(self._workers.__getitem__, fn.copies) if w.ready and w.silent_since is None]
@@ -273,6 +271,10 @@
         demand = sum(fn.out.get(w.info.id, 0) for w in warm) + len(fn.held) + 1
         return max(1, math.ceil(demand / fn.lanes), self._spread(fn))
 
+    def _kept(self, fn: _Function) -> bool:
+        """The others' calls, foretold from this slice, renew each copy often."""
+        return fn.calls.weighed(self._now) / SHARE_SPAN * (self._s.front_ends - 1) >= RENEWED * len(fn.copies)
+
     def _spread(self, fn: _Function) -> int:
         """A slice hides how busy a function is everywhere, but shows its share of all calls, less what chance
         explains: its copies go to that share of the workers, times over, so that none carries much of it.
@@ -328,7 +330,7 @@
     def _renew(self, fn: _Function) -> None:
         """Copies in use, up to the target, that traffic has not renewed itself; others lapse."""
         now, warm = self._now, self._warm(fn)
-        if fn.calls.weighed(now) >= RENEW_CALLS:
+        if fn.calls.weighed(now) >= RENEW_CALLS and not self._kept(fn):
             believed = [w for w in self._hash_order(fn) if w in warm]
             for w in believed[: self._target(fn, warm)]:
                 if now - fn.copies[w.info.id].touched >= RENEW_AFTER * self._keep * 0.9:
