--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -258,3 +258,36 @@
     assert of(api.FollowList, rig.pass_time(SECOND)) == [api.FollowList(True)]
     rig.ask()
     assert orders(rig.actions), "a failed list must not void the old one"
+
+
+@pytest.mark.parametrize("front_ends", [0, 1, 70, 1_000_000])
+def test_any_told_number_of_front_ends_leaves_warm_workers_served(front_ends: int) -> None:
+    rig = Rig(6, replace(SETTINGS, front_ends=front_ends, index=max(0, front_ends - 1)))
+    rig.warm(1, 2)
+    rig.listed(api.ListKind.DELTA, worker(6, started=rig.now))  # a cold one is spared, the warm ones serve
+    for _ in range(20):
+        rig.now += SECOND // 5
+        rid = rig.ask()
+        sent = of(api.Send, rig.actions)
+        assert len(sent) == 1 and sent[0].worker in (1, 2)
+        rig.ended(rid, 0, sent[0].worker)
+
+
+def test_list_of_many_workers_that_drains_most_at_once() -> None:
+    """Far more workers than the settings' figures foretold, then all but three leave in one update."""
+    rig = Rig(600, replace(SETTINGS, front_ends=70))
+    rids = [rig.ask(function=100 + n) for n in range(40)]
+    leaving = [worker(i, api.WorkerState.DRAINING) for i in range(1, 598)]
+    done = rig.listed(api.ListKind.DELTA, *leaving)
+    done += rig.pass_time(4 * SECOND)
+    assert {o.worker for o in orders(done)} | {s.worker for s in of(api.Send, done)} <= {598, 599, 600}
+    assert {a.request for a in done if isinstance(a, api.Refuse | api.Fail)} == set(rids)
+
+
+def test_list_that_becomes_empty_holds_requests_within_their_time() -> None:
+    rig = Rig(3)
+    rig.warm(1)
+    rig.listed(api.ListKind.FULL)
+    rid = rig.ask()
+    assert not of(api.Send, rig.actions) and not orders(rig.actions)
+    assert [a.request for a in of(api.Refuse, rig.pass_time(4 * SECOND))] == [rid]
