--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -328,3 +328,23 @@
 
     assert renewals(1) >= 1
     assert renewals(70) == 0
+
+
+def test_stuck_requests_do_not_make_the_others_be_refused() -> None:
+    """On i8cdbe4 what hung on dying workers counted as in flight for seconds, and up to 80% were refused."""
+    site = replace(SETTINGS, limits=replace(SETTINGS.limits, max_attempts=1))
+    rig = Rig(12, site)
+    rig.warm(*range(1, 13))
+    stuck = [rig.ask(left=20 * SECOND) for _ in range(8)]
+    refused = 0
+    for n in range(60):
+        rig.now += SECOND // 8
+        for wid in range(1, 13):  # all answer questions, so none is silent
+            rig.feed(api.HoldEnded(wid, 7, Outcome.OK, 1_000, 1))
+        rid = rig.ask()
+        sent = of(api.Send, rig.actions)
+        refused += not sent and n > 24
+        if sent:
+            rig.ended(rid, 0, sent[0].worker, latency=50_000)
+    assert rig.router._all_out >= len(stuck) // 2
+    assert refused == 0
--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
@@ -79,7 +79,6 @@
     ready: bool = True
     weight: float = 1.0
     out: int = 0
-    busy: int = 0  # of these, sent to a copy believed warm
     heard: int = 0
     asked: int | None = None
     silent_since: int | None = None
@@ -386,7 +385,6 @@
         copy = fn.copies.setdefault(wid, _Copy(now))
         copy.touched = now
         req.attempts.append(_Attempt(wid, now, copy.sure))
-        w.busy += copy.sure
         fn.out[wid] = fn.out.get(wid, 0) + 1
         w.out += 1
         self._all_out += 1
@@ -441,7 +439,6 @@
         a.outcome = e.outcome
         w.out -= 1
         self._all_out -= 1
-        w.busy -= a.warm
         fn.out[a.worker] -= 1
         if not fn.out[a.worker]:
             del fn.out[a.worker]
@@ -578,7 +575,10 @@
     def _shortage(self) -> float:
         """The share of requests to refuse. Requests in flight on warm copies over the rate of answers tell
         the time to answer at once; late answers would tell it too late and make refusals swing."""
-        each = sorted([w.busy for w in self._workers.values() if w.busy and w.ready and not w.silent_since])
+        since = self._now - RATE_SPAN * self._aim  # longer out is stuck: it tells nothing of the next
+        live = (a for r in self._requests.values() for a in r.attempts if a.warm and not a.outcome)
+        count = Counter(a.worker for a in live if a.sent > since)
+        each = sorted(n for wid, n in count.items() if self._workers[wid].silent_since is None)
         median = each[-(self._ready + 1) // 2] if 2 * len(each) > self._ready else 0
         busy = sum(min(b, 2 * median + 1) for b in each)  # a few slow workers are no shortage
         if self._now - self._began < self._aim or busy <= SHED_CHANCE**2:
