--- /dev/null
+++ b/walnutpost/cli/__main__.py
@@ -0,0 +1,3 @@
+from walnutpost.cli.main import main
+
+main(prog_name="walnutpost")
--- a/walnutpost/cli/main.py
+++ b/walnutpost/cli/main.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import sys
+import tempfile
+from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
 
@@ -10,6 +12,11 @@
 
 from walnutpost.cli import logs, run
 from walnutpost.config import Config, ConfigError, load
+from walnutpost.trials import days, table
+from walnutpost.trials.facts import audit_folder
+from walnutpost.trials.run import play
+from walnutpost.trials.script import Script
+from walnutpost.trials.stage import StageError
 
 CONFIG = click.argument("config", type=click.Path(path_type=Path))
 CAPTURE = click.option(
@@ -106,3 +113,55 @@
         "stand-ins": len(fleet.workers) if fleet else 0,
     }
     click.echo(f"{config}: " + ", ".join(f"{count} {what}" for what, count in counts.items()))
+
+
+@main.command()
+@click.argument("script", type=click.Path(path_type=Path), required=False)
+@click.option(
+    "--from-day", type=click.Path(path_type=Path), help="A day file of the bench instead of SCRIPT."
+)
+@click.option("--out", type=click.Path(path_type=Path), help="Folder for captures and logs; kept.")
+@click.pass_obj
+def trial(log: Any, script: Path | None, from_day: Path | None, out: Path | None) -> None:
+    """Play a scripted bad day with processes on this machine, then audit it. Exits 1 on a broken rule."""
+    if (script is None) == (from_day is None):
+        raise click.UsageError("either SCRIPT or --from-day FILE is wanted")
+    try:
+        if from_day is not None:
+            checked, config = days.read_day(from_day)
+        else:
+            assert script is not None
+            checked = load(script, Script)
+            config = _fleet(script.parent / checked.config)
+    except ConfigError as error:
+        for line in error.lines:
+            click.echo(line, err=True)
+        sys.exit(2)
+    for missing in checked.no_counterpart:
+        click.echo(f"no counterpart here: {missing}", err=True)
+    with ExitStack() as stack:
+        folder = out or Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="trial-")))
+        try:
+            outcome = play(checked, config, folder, log)
+        except StageError as error:
+            click.echo(f"trial: {error}", err=True)
+            sys.exit(3)
+    click.echo(table.calls_table(outcome.results))
+    click.echo()
+    click.echo(table.rules_table(outcome.verdict))
+    for failure in outcome.failures:
+        click.echo(f"the trial itself: {failure}", err=True)
+    sys.exit(0 if outcome.verdict.kept and not outcome.failures else 1)
+
+
+@main.command()
+@click.argument("capture", type=click.Path(path_type=Path))
+def audit(capture: Path) -> None:
+    """Check the five rules from a folder of captures. Exits 1 on a broken rule."""
+    try:
+        verdict = audit_folder(capture)
+    except (OSError, ValueError) as error:
+        click.echo(f"{capture}: cannot be audited: {error}", err=True)
+        sys.exit(2)
+    click.echo(table.rules_table(verdict))
+    sys.exit(0 if verdict.kept else 1)
--- a/walnutpost/standins/model.py
+++ b/walnutpost/standins/model.py
@@ -59,7 +59,10 @@
     full: int = 0
     fail_loads: int = 0
     slow: float = 1.0
+    heavy_share: float = 0.0  # of the calls, that cost heavy_factor times the usual work
+    heavy_factor: float = 1.0
     reports: dict[str, float] | None = None  # said instead of the truth
+    reports_by: int = 0  # microseconds that reports are late by
     report_form: str = "text"
 
     def take(self, name: str) -> bool:
@@ -168,6 +171,7 @@
         self._loading: dict[int, _Copy] = {}
         self._load_queue: deque[_Copy] = deque()
         self._arrived: deque[tuple[int, float]] = deque()
+        self._told: deque[tuple[int, dict[str, float]]] = deque()
         self._out: list[Reaction] = []
 
     # Events
@@ -285,6 +289,13 @@
         """Named as in ORCA."""
         if self.faults.reports is not None:
             return dict(self.faults.reports)
+        truth = self._truth()
+        self._told.append((self._now, truth))
+        while len(self._told) > 1 and self._told[1][0] <= self._now - self.faults.reports_by:
+            self._told.popleft()
+        return dict(self._told[0][1])
+
+    def _truth(self) -> dict[str, float]:
         busy = min(1.0, len(self._running) / self.spec.cores)
         tied = sum(
             self._functions[c.function].memory_mb
@@ -402,6 +413,8 @@
             self.runs += 1
             call.run = self.runs
             factor = 1 + spec.spread * (2 * self._rng.random() - 1)
+            if self.faults.heavy_share and self._rng.random() < self.faults.heavy_share:
+                factor *= self.faults.heavy_factor
             call.work_left, call.wait = spec.work * factor, spec.wait
             self._running.append(call)
             self._out.append(Ran(call.ref, call.run))
--- /dev/null
+++ b/walnutpost/trials/run.py
@@ -0,0 +1,170 @@
+"""Plays a script: starts the stage, sends the traffic, makes the trouble, audits what was captured."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from walnutpost.config import Config
+from walnutpost.loop import Group, Loop
+from walnutpost.trials.audit import Verdict
+from walnutpost.trials.capture import Capture
+from walnutpost.trials.clients import Clients, Result
+from walnutpost.trials.facts import SUFFIX, audit_folder
+from walnutpost.trials.script import (
+    Ageing,
+    AnyTrouble,
+    Burst,
+    Drain,
+    Heavy,
+    KillFront,
+    OneOffs,
+    Released,
+    ReportsLate,
+    Restart,
+    Script,
+    Silent,
+    Slow,
+    StoreSlow,
+)
+from walnutpost.trials.stage import Stage, front_name
+
+SECOND = 1_000_000
+AGEING_STEPS = 8
+
+
+@dataclass(slots=True)
+class Outcome:
+    """`failures`: what went wrong with the trial itself, as a process that did not end."""
+
+    results: list[Result]
+    verdict: Verdict
+    failures: list[str]
+
+
+def play(script: Script, config: Config, folder: Path, log: Any) -> Outcome:
+    """Plays a whole trial in real time; captures and logs stay in `folder`."""
+    failed: list[str] = []
+    loop = Loop(on_error=lambda name, error: failed.append(f"{name}: {error!r}"))
+    stage = Stage(loop, config, script, folder)
+    results: list[Result] = []
+
+    def main() -> None:
+        stage.start()
+        log.info("stage stands", folder=str(folder), processes=len(stage.children))
+        tap = Capture(folder / f"clients{SUFFIX}", "client", "clients", loop.now)
+        clients = Clients(loop, script, stage.config, stage.fronts, tap)
+        with Group(loop) as group:
+            for number, trouble in enumerate(script.troubles):
+                group.spawn(make, stage, trouble, Random(script.seed * 7919 + number), log, name=trouble.what)
+            clients.run()
+            log.info("traffic is over", calls=len(clients.results))
+        results.extend(clients.results)
+
+    try:
+        loop.run(main)
+    finally:
+        stage.stop()
+    return Outcome(results, audit_folder(folder), [*failed, *stage.failures])
+
+
+def make(stage: Stage, trouble: AnyTrouble, rng: Random, log: Any) -> None:
+    """One trouble, from its time to its end."""
+    loop = stage.loop
+    assert stage.config.fleet is not None
+    everyone = [w.name for w in stage.config.fleet.workers]
+
+    def chosen(count: int) -> list[str]:
+        if trouble.on is not None:
+            return [everyone[i % len(everyone)] for i in trouble.on]
+        return rng.sample(everyone, min(count, len(everyone)))
+
+    def nap(seconds: float) -> None:
+        loop.sleep(round(seconds * SECOND))
+
+    nap(trouble.at_s)
+    log.info("trouble", **trouble.model_dump())
+    match trouble:
+        case Burst() | OneOffs():
+            pass  # the clients see to these
+        case Released(share=share):
+            names = list(stage.config.site.functions)
+            stage.command(everyone, {"void": rng.sample(names, round(share * len(names)))})
+        case Silent(for_s=for_s, workers=count):
+            names = chosen(count)
+            for name in names:
+                stage.signal(name, signal.SIGSTOP)
+            nap(for_s)
+            _restart(stage, names)
+        case Restart(for_s=for_s, workers=count):
+            names = chosen(count)
+            for name in names:
+                _restart(stage, [name])
+                nap(for_s / len(names))
+        case Slow(for_s=for_s, factor=factor, workers=count, every_s=every):
+            names = chosen(count)
+            _switch(loop, for_s, every, lambda on: stage.command(names, {"slow": factor if on else 1.0}))
+        case Ageing(for_s=for_s, factor=factor, workers=count):
+            names = chosen(count)
+            for step in range(1, AGEING_STEPS + 1):
+                stage.command(names, {"slow": 1 + (factor - 1) * step / AGEING_STEPS})
+                nap(for_s / AGEING_STEPS)
+            _restart(stage, names)
+        case StoreSlow(for_s=for_s, factor=factor):
+            stage.store_slow(factor)
+            nap(for_s)
+            stage.store_slow(1.0)
+        case ReportsLate(for_s=for_s, by_s=by_s, workers=count):
+            names = chosen(count)
+            stage.command(names, {"reports_by": round(by_s * SECOND)})
+            nap(for_s)
+            stage.command(names, {"reports_by": 0})
+        case Heavy(for_s=for_s, factor=factor, share=share):
+            stage.command(everyone, {"heavy_share": share, "heavy_factor": factor})
+            nap(for_s)
+            stage.command(everyone, {"heavy_share": 0.0})
+        case Drain(for_s=for_s, workers=count):
+            _drain(stage, chosen(count), lambda: nap(for_s))
+        case KillFront(for_s=for_s, fronts=count):
+            indexes = (
+                trouble.on if trouble.on is not None else rng.sample(range(stage.script.front_ends), count)
+            )
+            for index in indexes:
+                stage.kill(front_name(index))
+            nap(for_s)
+            for index in indexes:
+                stage.front_back(index)
+
+
+def _restart(stage: Stage, names: list[str]) -> None:
+    for name in names:
+        stage.kill(name)
+    for name in names:
+        stage.back_cold(name)
+
+
+def _drain(stage: Stage, names: list[str], wait: Callable[[], None]) -> None:
+    for name in names:
+        stage.listed[name].state = "draining"
+    stage.tell_later()
+    wait()
+    for name in names:
+        stage.command([name], {"drain": True})
+        stage.listed.pop(name)
+    stage.tell_later()
+    wait()
+    _restart(stage, names)
+
+
+def _switch(loop: Loop, for_s: float, every: float, turn: Callable[[bool], None]) -> None:
+    end = loop.now() + round(for_s * SECOND)
+    on = True
+    while loop.now() < end:
+        turn(on)
+        loop.sleep(min(round((every or for_s) * SECOND), max(1, end - loop.now())))
+        on = not on
+    turn(False)
