--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,87 @@
+"""Configuration: every error at once, each with its place."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from tests.fleet import BASE, merged
+from walnutpost.cli import main
+from walnutpost.config import Config, ConfigError, parse
+
+ROOT = Path(__file__).parent.parent
+
+WRONG: list[tuple[dict[str, Any], str, str]] = [
+    ({"front": {"lissten": "x"}}, "front.lissten", "not known here"),
+    ({"front": {"listen": "0.0.0.0:8400"}}, "front", "127.0.0.0/8"),
+    ({"front": {"listen": "8400"}}, "front", "127.0.0.1:8400"),
+    ({"front": {"index": 3}}, "front", "index below front_ends"),
+    ({"front": {"max_body_bytes": "6MB"}}, "front.max_body_bytes", "found '6MB'"),
+    ({"site": {"functions": {"price": {"class": "nope", "memory_mb": 1}}}}, "site", "nope"),
+    (
+        {"site": {"functions": {"new": {"class": "valuation"}}}},
+        "site.functions.new.memory_mb",
+        "found nothing",
+    ),
+    (
+        {"site": {"functions": {"a/b": {"class": "valuation", "memory_mb": 1}}}},
+        "site.functions.a/b.[key]",
+        "pattern",
+    ),
+    (
+        {"site": {"classes": {"valuation": {"effect": "maybe"}}}},
+        "site.classes.valuation.effect",
+        "found 'maybe'",
+    ),
+    (
+        {"site": {"classes": {"valuation": {"aim_ms": 9999}}}},
+        "site.classes.valuation",
+        "aim_ms <= deadline_ms",
+    ),
+    ({"site": {"default_tenant": "nobody"}}, "site", "nobody"),
+    ({"front": {"zone": "mars"}}, "(top)", "mars"),
+    ({"front": {"workers": [{"name": "w", "address": "h:x"}]}}, "front.workers.0", "address"),
+]
+
+
+@pytest.mark.parametrize(("more", "place", "says"), WRONG)
+def test_an_error_names_its_place(more: dict[str, Any], place: str, says: str) -> None:
+    with pytest.raises(ConfigError) as caught:
+        parse(json.dumps(merged(BASE, more)), "site.json5", Config)
+    assert any(line.startswith(f"site.json5: {place}: ") and says in line for line in caught.value.lines)
+
+
+def test_all_errors_are_told_at_once_and_the_exit_is_two(tmp_path: Path) -> None:
+    path = tmp_path / "bad.json5"
+    path.write_text(
+        json.dumps(merged(BASE, {"front": {"a": 1, "index": -1}, "site": {"keep_alive_ms": "x"}}))
+    )
+    for command in ("check-config", "serve", "up"):
+        result = CliRunner().invoke(main, [command, str(path)])
+        assert result.exit_code == 2
+        for place in ("front.a", "front.index", "site.keep_alive_ms"):
+            assert f"{path}: {place}: " in result.output
+
+
+@pytest.mark.parametrize("text", ["{", "[]", "", "{a: 1, a: 2}", "{site: " * 2000])
+def test_what_is_no_json5_object_is_an_error_not_a_crash(text: str) -> None:
+    with pytest.raises(ConfigError):
+        parse(text, "f", Config)
+
+
+def test_the_examples_are_right() -> None:
+    for path in (ROOT / "examples").glob("*.json5"):
+        if path.name != "bad-day.json5":
+            result = CliRunner().invoke(main, ["check-config", str(path)])
+            assert result.exit_code == 0, result.output
+
+
+def test_every_command_says_what_it_is_for() -> None:
+    result = CliRunner().invoke(main, ["--help"])
+    for command in ("serve", "worker", "up", "check-config", "trial", "audit"):
+        assert command in result.output
+        assert CliRunner().invoke(main, [command, "--help"]).exit_code == 0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -112,7 +112,11 @@
     assert len(rig.starts()) == 1
 
 
-OTHER = {"payload": {"payload": b"2"}, "tenant": {"tenant": "b"}, "key": {"repeat_key": "id2"}}
+OTHER: dict[str, dict[str, Any]] = {
+    "payload": {"payload": b"2"},
+    "tenant": {"tenant": "b"},
+    "key": {"repeat_key": "id2"},
+}
 
 
 @pytest.mark.parametrize("name", OTHER)
@@ -203,7 +207,8 @@
 
 def test_unknown_names_change_nothing() -> None:
     rig = Rig()
-    for more in ({"function": "nope"}, {"function": "price", "tenant": "nope"}):
+    cases: list[dict[str, Any]] = [{"function": "nope"}, {"function": "price", "tenant": "nope"}]
+    for more in cases:
         gateway = Gateway(SITE, Catalogue(CATALOGUE.functions, ("a",), "a"), 1)
         with pytest.raises(UnknownName):
             gateway.handle(1, CallArrived(1, payload=b"", time_left=1, **more))
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -172,7 +172,12 @@
 
     def main() -> list[int]:
         q = Queue[int](lo, 2)
-        lo.spawn(lambda: [q.put(i) for i in range(5)])
+
+        def fill() -> None:
+            for i in range(5):
+                q.put(i)
+
+        lo.spawn(fill)
         lo.breathe()
         assert len(q) == 2
         with pytest.raises(Full):
@@ -263,8 +268,13 @@
         os.kill(os.getpid(), signal.SIGUSR1)
         told.wait()
         gate = threading.Event()
-        first = lo.spawn(lambda: lo.blocking(lambda: (gate.wait(), order.append(1))))
-        second = lo.spawn(lambda: lo.blocking(lambda: order.append(2)))
+
+        def held() -> None:
+            gate.wait()
+            order.append(1)
+
+        first = lo.spawn(lo.blocking, held)
+        second = lo.spawn(lo.blocking, order.append, 2)
         with pytest.raises(Timeout), lo.timeout(SECOND // 100):
             first.join()
         gate.set()
--- a/walnutpost/links/orca.py
+++ b/walnutpost/links/orca.py
@@ -46,8 +46,9 @@
         number = float(value)  # type: ignore[arg-type]
     except (TypeError, ValueError):
         return
-    if math.isfinite(number):
-        out[key.removeprefix(NAMED + ".")] = number
+    key = key.removeprefix(NAMED + ".")
+    if key and math.isfinite(number):
+        out[key] = number
 
 
 def _read_json(text: str) -> Report:
