--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -12,9 +12,13 @@
 from walnutpost.config.model import address_of
 from walnutpost.daemon import FrontEnd
 from walnutpost.http import Connection, Response
-from walnutpost.loop import Loop, VirtualClock
+from walnutpost.interface import ListKind
+from walnutpost.loop import Clock, Loop, VirtualClock
 from walnutpost.standins import LocalStore, WorkerServer
 from walnutpost.standins.fleet import local_store, start_worker
+from walnutpost.trials.audit import Verdict
+from walnutpost.trials.capture import Capture
+from walnutpost.trials.facts import SUFFIX, audit_folder, facts_of, write_facts
 
 T = TypeVar("T")
 SECOND = 1_000_000
@@ -66,14 +70,26 @@
 class Fleet:
     """`run` starts everything, runs a script in a task, and ends everything."""
 
-    def __init__(self, path: Path, more: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self,
+        path: Path,
+        more: dict[str, Any] | None = None,
+        front: dict[str, Any] | None = None,
+        capture: bool = False,
+        clock: Clock | None = None,
+    ) -> None:
+        """`more` changes the configuration; `front` what the front end alone believes of it."""
         self.path = path
-        self.config = parse(json.dumps(merged(BASE, more or {})), "test", Config)
+        self.capture = capture
+        told = merged(BASE, more or {})
+        self.config = parse(json.dumps(told), "test", Config)
+        self.front_config = parse(json.dumps(merged(told, front or {})), "test", Config)
         self.errors: list[BaseException] = []
-        self.loop = Loop(VirtualClock(), lambda name, error: self.errors.append(error))
+        self.loop = Loop(clock or VirtualClock(), lambda name, error: self.errors.append(error))
         self.log = Log()
         self.workers: dict[str, WorkerServer] = {}
         self.lines: list[WorkerLine] = []
+        self.version = 0
         self.front: FrontEnd
         self.store: LocalStore
 
@@ -95,15 +111,35 @@
         assert self.config.fleet is not None
         self.store = local_store(self.loop, self.config)
         for line in self.config.fleet.workers:
-            server = start_worker(self.loop, self.config, line, self.store)
+            tap = (lambda name: self.tap("worker", name)) if self.capture else None
+            server = start_worker(self.loop, self.config, line, self.store, tap)
             self.workers[line.name] = server
             self.lines.append(WorkerLine(name=line.name, address="{}:{}".format(*server.address)))
 
-    def start_front(self, tap: Any = None) -> FrontEnd:
-        front = self.config.front.model_copy(update={"workers": self.lines})
-        config = self.config.model_copy(update={"front": front})
+    def tap(self, kind: str, name: str) -> Capture:
+        return Capture(self.path / f"{name}{SUFFIX}", kind, name, self.loop.now)
+
+    def start_front(self) -> FrontEnd:
+        front = self.front_config.front.model_copy(update={"workers": self.lines})
+        config = self.front_config.model_copy(update={"front": front})
+        tap = self.tap("front", "front-0") if self.capture else None
         return FrontEnd(self.loop, config, self.log, tap, self.path)
 
+    def relist(self, name: str, **changed: Any) -> None:
+        """The front end is told a list in which one worker's line has changed; with `gone`, it has left."""
+        self.lines = [
+            w.model_copy(update=changed) if w.name == name else w
+            for w in self.lines
+            if w.name != name or not changed.get("gone")
+        ]
+        self.version += 1
+        self.front.lists.tell(ListKind.FULL, self.version, self.lines)
+
+    def audit(self) -> Verdict:
+        """What the audit says of the captures, by the honest configuration."""
+        write_facts(self.path, facts_of(self.config))
+        return audit_folder(self.path)
+
     def connect(self, front: FrontEnd | None = None) -> Connection:
         return Connection.open(self.loop, (front or self.front).address)
 
@@ -123,8 +159,8 @@
         """Calls once and returns the worker that has the copy then."""
         return str(json.loads(self.invoke(function).body)["worker"])
 
-    def runs(self) -> int:
-        return sum(len(w.runs) for w in self.workers.values())
+    def runs(self, function: str | None = None) -> int:
+        return sum(function in (None, ran) for w in self.workers.values() for _, ran, _ in w.runs)
 
     def running(self) -> WorkerServer:
         """The worker on which something runs."""
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -298,3 +298,22 @@
         return lo.now() - began
 
     assert lo.run(main) == 0
+
+
+def test_the_end_waits_for_the_helpers_last_job() -> None:
+    """What jobs work on is closed right after; a store closed under a commit took the process with it."""
+    lo = loop()
+    gate, done = threading.Event(), list[str]()
+
+    def job() -> None:
+        gate.wait()
+        done.append("job")
+
+    def main() -> None:
+        lo.spawn(lo.blocking, job)
+        lo.breathe()
+        lo.call_later(SECOND, lambda: None)
+        threading.Timer(0.05, gate.set).start()
+
+    lo.run(main)
+    assert done == ["job"]
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,89 @@
+"""Whole processes: the commands start and stop cleanly, and a killed front end's deferred calls get their
+fates."""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.fleet import BASE, Log, merged
+from walnutpost.config import Config, parse
+from walnutpost.trials import table
+from walnutpost.trials.run import play
+from walnutpost.trials.script import Script
+
+PATIENCE = 30.0
+
+
+def wait_for(path: Path, text: str) -> None:
+    end = time.monotonic() + PATIENCE
+    while text not in path.read_text():
+        assert time.monotonic() < end, path.read_text()
+        time.sleep(0.01)
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_up_says_where_it_listens_and_stops_when_asked(tmp_path: Path, number: signal.Signals) -> None:
+    config = tmp_path / "site.json5"
+    config.write_text(json.dumps(BASE))
+    log = tmp_path / "log"
+    with log.open("wb") as out:
+        command = [sys.executable, "-m", "walnutpost.cli", "--log", "json", "up", str(config)]
+        process = subprocess.Popen(command, stdout=out, stderr=out)
+    try:
+        wait_for(log, '"event": "listening"')
+        process.send_signal(number)
+        assert process.wait(PATIENCE) == 0
+        events = [json.loads(line)["event"] for line in log.read_text().splitlines()]
+        assert events == ["stand-ins", "listening", "stopping", "stopped"]
+    finally:
+        process.kill()
+
+
+RULES = {
+    "answer_slack_ms": 2000,
+    "cold_ms": 4000,
+    "start_capacity": 0.2,
+    "overload_factor": 4,
+    "overload_for_ms": 1000,
+}
+SITE = merged(
+    BASE,
+    {"site": {"rules": RULES}, "fleet": {"workers": [{"name": f"worker-{i}"} for i in range(1, 5)]}},
+)
+SCRIPT = {
+    "config": "-",
+    "seed": 3,
+    "duration_s": 6,
+    "front_ends": 2,
+    "list_delay_s": 0.3,
+    "traffic": {
+        "rate_per_s": 30,
+        "functions": {"price": 1, "reserve": 1},
+        "deferred_share": 0.4,
+        "retries": 2,
+    },
+    "troubles": [
+        {"at_s": 1, "what": "silent", "workers": 1, "for_s": 2},
+        {"at_s": 1.5, "what": "released", "share": 1},
+        {"at_s": 2, "what": "kill_front", "on": [0], "for_s": 0.5},
+        {"at_s": 3, "what": "drain", "workers": 1, "for_s": 1},
+    ],
+}
+
+
+def test_a_small_bad_day_keeps_the_rules(tmp_path: Path) -> None:
+    """The slack is wide, since this shares its machine; the rules are not."""
+    script = parse(json.dumps(SCRIPT), "script", Script)
+    outcome = play(script, parse(json.dumps(SITE), "site", Config), tmp_path, Log())
+    assert outcome.verdict.kept and not outcome.failures, table.rules_table(outcome.verdict)
+    looked = {rule.name: rule.looked_at for rule in outcome.verdict.rules}
+    assert looked["1 one fate for each deferred call"] > 20 and looked["2 no effect twice"] > 20
+    assert sum(r.kind == "served" for r in outcome.results) > 50
+    assert "reserve deferred" in table.calls_table(outcome.results)
--- a/walnutpost/fronts/invoke/protocol.py
+++ b/walnutpost/fronts/invoke/protocol.py
@@ -26,7 +26,7 @@
 EXECUTION = re.compile(r"/2025-12-01/durable-executions/([^/]+)(/stop)?")
 BY_FUNCTION = re.compile(r"/2025-12-01/functions/([^/]+)/durable-executions")
 NAME = re.compile(
-    r"(?:arn:[a-zA-Z0-9-]+:lambda:)?(?:[a-z0-9-]+:)?(?:\d{12}:)?(?:function:)?"
+    r"(?:arn:[a-zA-Z0-9-]+:lambda:)?(?:[a-z]{2,4}(?:-[a-z]+)+-\d:)?(?:\d{12}:)?(?:function:)?"
     r"([a-zA-Z0-9-_.]{1,140})(?::(\$LATEST(?:\.PUBLISHED)?|[a-zA-Z0-9-_]+))?"
 )
 ARN = re.compile(
--- a/walnutpost/http/server.py
+++ b/walnutpost/http/server.py
@@ -17,7 +17,7 @@
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LINGER = 1_000_000  # how long a refused sender may go on sending before the connection is cut
-LINGER_BYTES = 1 << 20  # and how much of it is read, so that the answer is not lost to a reset
+LINGER_BYTES = 16 << 20  # and how much of it is read, so that the answer is not lost to a reset
 
 
 @dataclass(slots=True)
--- a/walnutpost/loop/scheduler.py
+++ b/walnutpost/loop/scheduler.py
@@ -21,7 +21,8 @@
 READ, WRITE = select.POLLIN | select.POLLRDHUP, select.POLLOUT
 BROKEN = select.POLLERR | select.POLLHUP | select.POLLNVAL
 OPS_A_TURN = 32  # socket calls that a task may make without waiting, before others get their turn
-GRACE_MS = 2  # real time that a virtual clock gives the kernel to deliver before it jumps
+HELPER_PATIENCE = 10.0  # seconds that the helper thread gets at the end to finish what it was given
+GRACE_MS = 1  # real time that a virtual clock gives the kernel to deliver before it jumps
 
 
 class Cancelled(BaseException):
@@ -113,6 +114,7 @@
         self._tasks: dict[Task[Any], None] = {}
         self._now = self.clock.now()
         self._jobs: queue.SimpleQueue[Callable[[], object] | None] | None = None
+        self._thread: threading.Thread | None = None
         self._job_count = 0
         self._finished: deque[Callable[[], object]] = deque()
         self._waker: tuple[socket.socket, socket.socket] | None = None
@@ -341,7 +343,8 @@
         waker = self._wakeable()
         if self._jobs is None:
             self._jobs = queue.SimpleQueue()
-            threading.Thread(target=self._helper, args=(self._jobs,), daemon=True).start()
+            self._thread = threading.Thread(target=self._helper, args=(self._jobs,), daemon=True)
+            self._thread.start()
         task, token = self.waiting()
 
         def job() -> None:
@@ -394,8 +397,11 @@
 
     def close(self) -> None:
         if self._jobs is not None:
+            # What a job works on is closed after the loop: no job may still be at it then.
             self._jobs.put(None)
             self._jobs = None
+            assert self._thread is not None
+            self._thread.join(HELPER_PATIENCE)
         if self._waker is not None:
             if self._signals:
                 signal.set_wakeup_fd(-1)
--- a/walnutpost/standins/worker.py
+++ b/walnutpost/standins/worker.py
@@ -35,7 +35,7 @@
 
 
 class WorkerServer:
-    """`runs` is its own record of every execution: call id and run number, in order."""
+    """`runs` is its own record of every execution: call id, function and run number, in order."""
 
     def __init__(
         self,
@@ -52,7 +52,7 @@
         self._refs = 0
         self._waiting: dict[int, _Waiting] = {}
         self._timer: Timer | None = None
-        self.runs: list[tuple[str, int]] = []
+        self.runs: list[tuple[str, str, int]] = []
         self.loads: list[str] = []
         self._life = 0
         self._stalled = Event(loop)
@@ -236,8 +236,8 @@
             match reaction:
                 case Ran(ref, run):
                     entry = self._waiting.get(ref)
-                    call_id = entry.call_id if entry is not None else ""
-                    self.runs.append((call_id, run))
+                    call_id, function = (entry.call_id, entry.function) if entry is not None else ("", "")
+                    self.runs.append((call_id, function, run))
                     if self._tap is not None:
                         self._tap.ran(call_id, run)
                     if entry is not None and entry.cut:
--- a/walnutpost/trials/run.py
+++ b/walnutpost/trials/run.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -97,7 +96,7 @@
         case Silent(for_s=for_s, workers=count):
             names = chosen(count)
             for name in names:
-                stage.signal(name, signal.SIGSTOP)
+                stage.silence(name)
             nap(for_s)
             _restart(stage, names)
         case Restart(for_s=for_s, workers=count):
--- a/walnutpost/trials/stage.py
+++ b/walnutpost/trials/stage.py
@@ -16,7 +16,7 @@
 from walnutpost.config import Config, StandIn
 from walnutpost.config.model import FunctionLine, FunctionWork
 from walnutpost.http import BadMessage, Connection
-from walnutpost.loop import Loop, Timeout
+from walnutpost.loop import Group, Loop, Timeout
 from walnutpost.trials.clients import one_off_name
 from walnutpost.trials.facts import SUFFIX, facts_of, write_facts
 from walnutpost.trials.script import Script
@@ -58,6 +58,7 @@
     children: dict[str, _Child] = field(default_factory=dict)
     listed: dict[str, _Listed] = field(default_factory=dict)
     version: int = 0
+    down: set[str] = field(default_factory=set)
     failures: list[str] = field(default_factory=list)
 
     # Starting and ending
@@ -177,8 +178,12 @@
     # What goes wrong
 
     def command(self, names: Sequence[str], told: dict[str, Any]) -> None:
-        for name in names:
-            self._post(self.children[name].address, "/control", json.dumps(told).encode())
+        """To all at once; one that is down hears nothing, and will have lost what it held."""
+        with Group(self.loop) as group:
+            for name in names:
+                if name not in self.down:
+                    address = self.children[name].address
+                    group.spawn(self._post, address, "/control", json.dumps(told).encode())
 
     def store_slow(self, factor: float) -> None:
         self._post(self.children["store"].address, f"/slow/{factor}", b"")
@@ -196,12 +201,15 @@
         except (OSError, Timeout, BadMessage) as error:
             self.failures.append(f"{address}{target}: {error}")
 
-    def signal(self, name: str, number: signal.Signals) -> None:
+    def silence(self, name: str) -> None:
+        """Stops the process: connections are taken by its kernel, and nothing is said on them."""
+        self.down.add(name)
         process = self.children[name].process
         if process is not None and process.poll() is None:
-            process.send_signal(number)
+            process.send_signal(signal.SIGSTOP)
 
     def kill(self, name: str) -> None:
+        self.down.add(name)
         process = self.children[name].process
         if process is not None:
             process.kill()
@@ -215,6 +223,7 @@
         line = line or next(w for w in fleet.workers if w.name == name)
         self._spawn(name, self._worker_arguments(line, True))
         self._await(name)
+        self.down.discard(name)
         self.listed[name] = _Listed(self.children[name].address, "ready", time.time(), line)
         self.tell_later()
 
