--- a/walnutpost/config/load.py
+++ b/walnutpost/config/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from pathlib import Path
 from typing import TypeVar
 
@@ -33,7 +34,7 @@
 def parse(text: str, source: str, model: type[M]) -> M:
     """`source` is named in errors."""
     try:
-        told = json5.loads(text, allow_duplicate_keys=False)
+        told = _read(text)
     except (ValueError, RecursionError) as error:
         raise ConfigError([f"{source}: not JSON5: {error}"]) from None
     try:
@@ -42,6 +43,23 @@
         raise ConfigError([_line(source, dict(e)) for e in error.errors()]) from None
 
 
+def _read(text: str) -> object:
+    """Plain JSON by the standard library, all else by json5, which is a thousand times slower: the files that
+    programs write, worker lists above all, are plain."""
+    try:
+        return json.loads(text, object_pairs_hook=_once)
+    except json.JSONDecodeError:
+        return json5.loads(text, allow_duplicate_keys=False)
+
+
+def _once(pairs: list[tuple[str, object]]) -> dict[str, object]:
+    told = dict(pairs)
+    if len(told) < len(pairs):
+        names = [name for name, _ in pairs]
+        raise ValueError(f"a key stands twice: {next(n for n in names if names.count(n) > 1)!r}")
+    return told
+
+
 def _line(source: str, error: dict[str, object]) -> str:
     loc = error["loc"]
     assert isinstance(loc, tuple)
--- a/walnutpost/fronts/invoke/front.py
+++ b/walnutpost/fronts/invoke/front.py
@@ -73,9 +73,12 @@
         self._classes = classes
         self._names = names
         self._deferred_most = deferred_most
+        # Request ids: shaped as UUIDs are, random for this start, counted within it.
+        self._prefix, self._count = str(uuid.uuid4())[:23], 0
 
     def handle(self, exchange: Exchange) -> Response | None:
-        request_id = str(uuid.uuid4())
+        self._count += 1
+        request_id = f"{self._prefix}-{self._count:012x}"
         try:
             operation = protocol.read(exchange.request)
             match operation:
--- a/walnutpost/http/server.py
+++ b/walnutpost/http/server.py
@@ -104,8 +104,10 @@
             if response is None:
                 return
             response.keep_alive = response.keep_alive and request.keep_alive and not self.draining
-            with self._loop.timeout(self._limits.body_time):
-                stream.send_all(encode_response(response))
+            rest = stream.send_now(encode_response(response))
+            if rest:
+                with self._loop.timeout(self._limits.body_time):
+                    stream.send_all(rest)
             self.streams[stream] = False
             if not response.keep_alive:
                 return
--- a/walnutpost/loop/scheduler.py
+++ b/walnutpost/loop/scheduler.py
@@ -8,8 +8,7 @@
 import socket
 import threading
 from collections import deque
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from typing import Any, Generic, TypeVar
 
 from greenlet import getcurrent, greenlet
@@ -81,6 +80,32 @@
         return self.result  # type: ignore[return-value]
 
 
+class _Scope:
+    """What `Loop.timeout` returns; the Timeout it would throw is bound by `with ... as`."""
+
+    __slots__ = ("_delay", "_loop", "_task", "_timeout", "_timer")
+
+    def __init__(self, loop: Loop, delay: int) -> None:
+        self._loop = loop
+        self._delay = delay
+
+    def __enter__(self) -> Timeout:
+        loop = self._loop
+        self._task = loop.current()
+        self._timeout = Timeout("it took too long")
+        self._timer = loop.call_later(self._delay, self._fire)
+        return self._timeout
+
+    def _fire(self) -> None:
+        self._loop.interrupt(self._task, self._timeout)
+
+    def __exit__(self, *_: object) -> None:
+        self._timer.cancel()
+        pending = self._task.pending
+        if pending and self._timeout in pending:
+            pending.remove(self._timeout)
+
+
 class _Descriptor:
     """Who waits for one descriptor, and what the poll object was told of it."""
 
@@ -140,17 +165,9 @@
         finally:
             timer.cancel()
 
-    @contextmanager
-    def timeout(self, delay: int) -> Iterator[Timeout]:
-        """Throws Timeout into whatever wait the body is in when `delay` is over; scopes nest."""
-        task, mine = self.current(), Timeout(f"after {delay} us")
-        timer = self.call_later(delay, lambda: self.interrupt(task, mine))
-        try:
-            yield mine
-        finally:
-            timer.cancel()
-            if mine in task.pending:
-                task.pending.remove(mine)
+    def timeout(self, delay: int) -> _Scope:
+        """A block that throws Timeout into whatever wait it is in when `delay` is over; blocks nest."""
+        return _Scope(self, delay)
 
     # Tasks
 
--- a/walnutpost/loop/sockets.py
+++ b/walnutpost/loop/sockets.py
@@ -81,6 +81,20 @@
             view = view[count:]
             self._loop.spent()
 
+    def send_now(self, data: bytes) -> bytes:
+        """Hands over what the kernel takes without waiting; returns the rest, mostly none."""
+        if self.closed:
+            raise ConnectionAbortedError(errno.ECONNABORTED, "closed here")
+        try:
+            count = self._sock.send(data)
+        except BlockingIOError:
+            return data
+        self.sent_any = True
+        if self._tap is not None:
+            self._tap.bytes(self._number, True, data[:count])
+        self._loop.spent()
+        return data[count:]
+
     def stale(self) -> bool:
         """Whether the other end has closed, or spoken out of turn: not to be used for a new exchange."""
         try:
