Cron schedules as a second front on the same core, with a fate for each due time

Need: nightly and warm-up calls come from timers; the operators want them under the clients' rules.

Change: schedules/ decides without I/O or clock (due times by cronsim, missed ones, overlaps, jitter by hash, owners by rendezvous hash); fronts/timers fires deferred calls named by schedule and due time, the firing's row in the same commit as the call; timers next and history; SIGHUP; check-config over several files. A store restored from an older copy is known by a file beside it.

--- a/walnutpost/cli/main.py
+++ b/walnutpost/cli/main.py
@@ -4,6 +4,7 @@
 
 import sys
 import tempfile
+import time
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
@@ -11,7 +12,10 @@
 import click
 
 from walnutpost.cli import logs, run
-from walnutpost.config import Config, ConfigError, load
+from walnutpost.cli.times import local, upcoming
+from walnutpost.config import Config, ConfigError, load, own_schedules, schedules
+from walnutpost.schedules import owner_of
+from walnutpost.store import StoreError, history
 from walnutpost.trials import days, table
 from walnutpost.trials.facts import audit_folder
 from walnutpost.trials.run import play
@@ -60,7 +64,7 @@
 @click.pass_obj
 def serve(log: Any, config: Path, capture: Path | None) -> None:
     """Run a front end for the workers that CONFIG lists."""
-    run.serve(_load(config), config.parent, log, False, capture)
+    run.serve(_load(config), config.parent, log, False, capture, config)
 
 
 @main.command()
@@ -69,7 +73,7 @@
 @click.pass_obj
 def up(log: Any, config: Path, capture: Path | None) -> None:
     """Run a front end and the stand-in workers of CONFIG's fleet in one process."""
-    run.serve(_fleet(config), config.parent, log, True, capture)
+    run.serve(_fleet(config), config.parent, log, True, capture, config)
 
 
 @main.command()
@@ -100,19 +104,76 @@
 
 
 @main.command("check-config")
+@click.argument("configs", type=click.Path(path_type=Path), nargs=-1, required=True)
+def check_config(configs: tuple[Path, ...]) -> None:
+    """Check CONFIGS; say every error with its place, or what each sets up.
+
+    Several files are taken for the front ends of one site: a schedule that two of them would fire is an
+    error.
+    """
+    checked = {path: _load(path) for path in configs}
+    for path, config in checked.items():
+        site, fleet = config.site, config.fleet
+        counts = {
+            "classes": len(site.classes),
+            "functions": len(site.functions),
+            "tenants": len(site.tenants),
+            "schedules": len(config.schedules),
+            "workers listed": len(config.front.workers),
+            "stand-ins": len(fleet.workers) if fleet else 0,
+        }
+        click.echo(f"{path}: " + ", ".join(f"{count} {what}" for what, count in counts.items()))
+    owners: dict[str, Path] = {}
+    wrong = False
+    for path, config in checked.items():
+        for schedule in own_schedules(config):
+            other = owners.setdefault(schedule.name, path)
+            if other != path:
+                wrong = True
+                place = f"{path}: schedules.{schedule.name}"
+                click.echo(f"{place}: found a schedule that {other} fires too; wanted one owner", err=True)
+    sys.exit(2 if wrong else 0)
+
+
+@main.group()
+def timers() -> None:
+    """Cron schedules: what comes, and what became of what was due."""
+
+
+@timers.command("next")
+@CONFIG
+@click.option("--count", default=20, show_default=True, type=click.IntRange(1, 10_000))
+@click.option("--all", "everyone", is_flag=True, help="Also schedules that other front ends fire.")
+def timers_next(config: Path, count: int, everyone: bool) -> None:
+    """The coming firings of CONFIG's front end, soonest first."""
+    checked = _load(config)
+    now = time.time_ns() // 1000
+    coming = upcoming(schedules(checked) if everyone else own_schedules(checked), now, count)
+    for when, due, schedule in coming:
+        owner = owner_of(schedule, checked.front.front_ends)
+        paused = "  (paused)" if schedule.paused else ""
+        times = f"{local(when, schedule.zone)}  {schedule.name}  due {local(due, schedule.zone)}"
+        click.echo(f"{times}  front end {owner}{paused}")
+
+
+@timers.command("history")
 @CONFIG
-def check_config(config: Path) -> None:
-    """Check CONFIG; say every error with its place, or what it sets up."""
+@click.option("--schedule", help="Only this one.")
+@click.option("--count", default=20, show_default=True, type=click.IntRange(1, 100_000))
+def timers_history(config: Path, schedule: str | None, count: int) -> None:
+    """What became of past due times, newest first, as the store of CONFIG's front end has it."""
     checked = _load(config)
-    site, fleet = checked.site, checked.fleet
-    counts = {
-        "classes": len(site.classes),
-        "functions": len(site.functions),
-        "tenants": len(site.tenants),
-        "workers listed": len(checked.front.workers),
-        "stand-ins": len(fleet.workers) if fleet else 0,
-    }
-    click.echo(f"{config}: " + ", ".join(f"{count} {what}" for what, count in counts.items()))
+    try:
+        rows = history(config.parent / checked.front.store, schedule, count)
+    except StoreError as error:
+        click.echo(f"{error}", err=True)
+        sys.exit(2)
+    for row in rows:
+        line = checked.schedules.get(row.schedule)
+        zone = line.zone if line is not None else "UTC"
+        span = f" to {local(row.last, zone)} ({row.count} times)" if row.count > 1 else ""
+        why = f"  {row.why}" if row.why else ""
+        click.echo(f"{local(row.due, zone)}{span}  {row.schedule}  {row.status}{why}")
 
 
 @main.command()
--- a/walnutpost/cli/run.py
+++ b/walnutpost/cli/run.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from walnutpost.config import Config, StandIn, WorkerLine
+from walnutpost.config import Config, ConfigError, StandIn, WorkerLine, load
 from walnutpost.config.model import address_of
 from walnutpost.daemon import FrontEnd, calm_collector
 from walnutpost.loop import Event, Loop
@@ -39,8 +39,19 @@
     return event
 
 
-def serve(config: Config, base: Path, log: Any, fleet: bool, capture: Path | None) -> None:
-    """A front end; with `fleet` the stand-in workers in the same process too."""
+def reload(path: Path, end: FrontEnd, log: Any) -> None:
+    try:
+        end.reload(load(path, Config))
+        log.info("schedules reloaded", file=str(path))
+    except ConfigError as error:
+        log.error("not reloaded", errors=error.lines)
+
+
+def serve(
+    config: Config, base: Path, log: Any, fleet: bool, capture: Path | None, path: Path | None = None
+) -> None:
+    """A front end; SIGHUP reads the schedules of `path` anew; with `fleet` the stand-in workers in the same
+    process too."""
     loop = make_loop(log)
     held: list[FrontEnd] = []
 
@@ -64,6 +75,8 @@
         tap = Capture(capture, "front", f"front-{front.index}", loop.now) if capture else None
         end = FrontEnd(loop, config.model_copy(update={"front": front}), log, tap, base)
         held.append(end)
+        if path is not None:
+            loop.on_signal(signal.SIGHUP, lambda: reload(path, end, log))
         calm_collector()
         stop.wait()
         end.stop()
--- a/walnutpost/config/__init__.py
+++ b/walnutpost/config/__init__.py
@@ -2,7 +2,7 @@
 
 from walnutpost.config.load import ConfigError, load, parse
 from walnutpost.config.model import Config, Fleet, Front, Site, StandIn, WorkerLine, WorkerList
-from walnutpost.config.settings import catalogue, router_settings, worker_lines
+from walnutpost.config.settings import catalogue, own_schedules, router_settings, schedules, worker_lines
 
 __all__ = [
     "Config",
@@ -15,7 +15,9 @@
     "WorkerList",
     "catalogue",
     "load",
+    "own_schedules",
     "parse",
     "router_settings",
+    "schedules",
     "worker_lines",
 ]
--- a/walnutpost/config/model.py
+++ b/walnutpost/config/model.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import ipaddress
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, StringConstraints, model_validator
+from pydantic import BaseModel, ConfigDict, Field, StringConstraints, field_validator, model_validator
+
+from walnutpost.schedules import check_cron, check_zone
 
 Ms = Annotated[float, Field(ge=0, le=86_400_000)]
 Share = Annotated[float, Field(ge=0, le=1)]
@@ -170,6 +172,7 @@
     max_head_bytes: int = Field(64 * 1024, ge=1024)
     head_time_ms: Ms = 10_000.0
     stop_ms: Ms = 5_000.0
+    firings_at_once: int = Field(64, ge=1, le=10_000)
     capture: str | None = None
 
     @model_validator(mode="after")
@@ -232,11 +235,57 @@
     seed: int = 1
 
 
+ScheduleName = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9_-]{1,40}$")]
+
+
+class ScheduleLine(Strict):
+    """A cron schedule. `payload` is any JSON; `owner` is the index of the front end that fires it, by
+    default one chosen by hash."""
+
+    cron: str
+    zone: str = "UTC"
+    function: Name
+    tenant: Name | None = None
+    payload: Any = None
+    deadline_ms: float = Field(60_000.0, gt=0, le=86_400_000)
+    jitter_ms: float = Field(0.0, ge=0, le=3_600_000)
+    missed: Literal["skip", "once", "all"] = "skip"
+    missed_age_ms: float = Field(3_600_000.0, ge=0, le=366 * 86_400_000)
+    overlap: Literal["allow", "forbid", "replace"] = "allow"
+    pause: bool = False
+    owner: int | None = Field(None, ge=0)
+
+    @field_validator("cron")
+    @classmethod
+    def _cron(cls, text: str) -> str:
+        check_cron(text)
+        return text
+
+    @field_validator("zone")
+    @classmethod
+    def _zone(cls, text: str) -> str:
+        check_zone(text)
+        return text
+
+
 class Config(Strict):
     site: Site
+    schedules: dict[ScheduleName, ScheduleLine] = Field(default_factory=dict)
     front: Front = Front()
     fleet: Fleet | None = None
 
+    @model_validator(mode="after")
+    def _schedules(self) -> Config:
+        for name, line in self.schedules.items():
+            if line.function not in self.site.functions:
+                raise ValueError(f"schedules of known functions; {name} names {line.function!r}")
+            tenant = line.tenant if line.tenant is not None else self.site.default_tenant
+            if self.site.tenants and tenant not in self.site.tenants:
+                raise ValueError(f"schedules of known tenants; {name} names {tenant!r}")
+            if line.owner is not None and line.owner >= self.front.front_ends:
+                raise ValueError(f"owners below front.front_ends; that of {name} is {line.owner}")
+        return self
+
     @model_validator(mode="after")
     def _places(self) -> Config:
         lines: list[WorkerLine | StandIn] = [*self.front.workers, *(self.fleet.workers if self.fleet else [])]
--- a/walnutpost/config/settings.py
+++ b/walnutpost/config/settings.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Sequence
 
 from walnutpost import interface as api
 from walnutpost.config.model import Config, Site, WorkerLine, address_of
 from walnutpost.gateway import Catalogue, Function, WorkerTold
+from walnutpost.schedules import Missed, Overlap, Schedule, owner_of
 
 
 def us(ms: float) -> int:
@@ -89,6 +91,39 @@
     )
 
 
+def schedules(config: Config) -> list[Schedule]:
+    """All schedules of the configuration, whoever's they are."""
+    site = config.site
+    out = []
+    for name, line in config.schedules.items():
+        effect = site.classes[site.functions[line.function].class_].effect
+        out.append(
+            Schedule(
+                name,
+                line.cron,
+                line.zone,
+                line.function,
+                line.tenant,
+                json.dumps(line.payload).encode(),
+                us(line.deadline_ms),
+                us(line.jitter_ms),
+                Missed(line.missed),
+                us(line.missed_age_ms),
+                Overlap(line.overlap),
+                line.pause,
+                line.owner,
+                effect != "safe",
+            )
+        )
+    return out
+
+
+def own_schedules(config: Config) -> list[Schedule]:
+    """Those that this front end fires."""
+    front = config.front
+    return [s for s in schedules(config) if owner_of(s, front.front_ends) == front.index]
+
+
 def worker_lines(
     site: Site, lines: Sequence[WorkerLine]
 ) -> tuple[tuple[WorkerTold, ...], dict[str, tuple[str, int]], set[str]]:
--- a/walnutpost/daemon/deferred.py
+++ b/walnutpost/daemon/deferred.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import uuid
+from collections.abc import Callable
 from dataclasses import replace
 from hashlib import blake2b
 from typing import Any
@@ -26,7 +27,7 @@
 )
 from walnutpost.interface import RequestClass
 from walnutpost.loop import Event, Loop
-from walnutpost.store import ExecutionStore, StoreError
+from walnutpost.store import Change, ExecutionStore, StoreError
 
 SAVE_AGAIN = 200_000  # between tries to write a fate down; it is told from memory meanwhile
 STORE_RETRY_AFTER = 1_000_000  # what a client is told to wait when the store takes nothing
@@ -67,6 +68,8 @@
         self._by_id: dict[str, _Open] = {}
         self._by_ticket: dict[int, _Open] = {}
         core.intend = self._intend
+        self.also_at_end: Callable[[Execution], Change] | None = None
+        self.on_end: Callable[[Execution], None] = lambda execution: None  # when its fate is on disk
 
     # Accepting
 
@@ -78,7 +81,9 @@
         time_left: int,
         name: str | None,
         request_id: str,
+        also: Change | None = None,
     ) -> Execution | Refused | None:
+        """`also` is committed with the call, where it is new."""
         digest = blake2b(payload + b"\0" + (tenant or "").encode(), digest_size=16).hexdigest()
         now = self._loop.now()
         name = name or request_id
@@ -103,7 +108,7 @@
         entry = _Open(self._loop, execution)
         self._remember(entry)
         try:
-            self._store.add(execution)
+            self._store.add(execution, also)
         except StoreError as error:
             entry.failed = self._not_stored(error, request_id, function)
             self._forget(entry)
@@ -170,12 +175,14 @@
     def _save(self, entry: _Open) -> None:
         while True:
             try:
-                self._store.update(entry.execution)
+                also = self.also_at_end(entry.execution) if self.also_at_end is not None else None
+                self._store.update(entry.execution, also)
                 break
             except StoreError as error:
                 self._log.error("store", error=str(error), request=entry.execution.name)
                 self._loop.sleep(SAVE_AGAIN)
         self._forget(entry)
+        self.on_end(entry.execution)
 
     def _remember(self, entry: _Open) -> None:
         self._by_name[entry.execution.function, entry.execution.name] = entry
@@ -190,6 +197,11 @@
         found = entry.execution if entry is not None else self._store.find(ident)
         return found if found is not None and found.function == function else None
 
+    def stop_named(self, function: str, name: str) -> None:
+        entry = self._by_name.get((function, name))
+        if entry is not None:
+            self.stop(function, entry.execution.id)
+
     def stop(self, function: str, ident: str) -> Execution | None:
         entry = self._by_id.get(ident)
         if entry is None or entry.execution.function != function:
--- a/walnutpost/daemon/front_end.py
+++ b/walnutpost/daemon/front_end.py
@@ -3,29 +3,36 @@
 from __future__ import annotations
 
 import secrets
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Protocol
 
-from walnutpost.config import Config, WorkerLine, catalogue, router_settings
+from walnutpost.config import Config, WorkerLine, catalogue, own_schedules, router_settings
 from walnutpost.config.model import address_of
 from walnutpost.config.settings import us
 from walnutpost.daemon.core import Core
 from walnutpost.daemon.deferred import Deferred
 from walnutpost.daemon.lists import Lists
+from walnutpost.daemon.seen import Seen
 from walnutpost.fronts.invoke import InvokeFront, Names, refusal
 from walnutpost.fronts.invoke.protocol import ListExecutions
+from walnutpost.fronts.timers import TimersFront
 from walnutpost.gateway import CallArrived, Execution, Final, Gateway, Refused
 from walnutpost.http import Limits, Server
 from walnutpost.http.server import serve_on
 from walnutpost.interface import ListKind
 from walnutpost.links import Links, LinkSettings
 from walnutpost.loop import Loop, Tap
-from walnutpost.store import ExecutionStore
+from walnutpost.store import ExecutionStore, FiringStore
 
 STOP_STEP = 20_000
 
 
+def wall_time() -> int:
+    return time.time_ns() // 1000
+
+
 class Recorder(Tap, Protocol):
     """A tap that is also told what the front end was told of workers."""
 
@@ -36,8 +43,15 @@
     """Opens everything at construction; `stop` ends it in order. Two in one process share nothing."""
 
     def __init__(
-        self, loop: Loop, config: Config, log: Any, tap: Recorder | None = None, base: Path | None = None
+        self,
+        loop: Loop,
+        config: Config,
+        log: Any,
+        tap: Recorder | None = None,
+        base: Path | None = None,
+        wall: Callable[[], int] | None = None,
     ) -> None:
+        """`wall` is the time of day for schedules, which may be set; the loop's own time never steps."""
         front, site = config.front, config.site
         base = base or Path()
         self._loop = loop
@@ -68,11 +82,27 @@
             self._tasks.append(loop.spawn(self.lists.follow, path, us(front.workers_poll_ms), name="list"))
         else:
             self.lists.tell(ListKind.CACHED, 0, front.workers)
+        firings = FiringStore(self._store)
+        self._seen = Seen(base / f"{front.store}.seen")
+        self.timers = TimersFront(
+            loop,
+            wall or wall_time,
+            own_schedules(config),
+            self.deferred,
+            firings,
+            self._seen.doubtful(max(firings.marks().values(), default=0)),
+            front.firings_at_once,
+            log,
+            self._seen.write,
+        )
+        self.deferred.also_at_end = firings.ended
+        self.deferred.on_end = self.timers.ended
         self.recovered = self.deferred.recover()
         invoke = InvokeFront(self, self.catalogue, settings.classes, Names(), us(front.deferred_deadline_ms))
         limits = Limits(front.max_head_bytes, front.max_body_bytes, us(front.head_time_ms))
         address = address_of(front.listen)
         self.server: Server = serve_on(loop, address, invoke.handle, refusal, limits, tap, "front")
+        self._tasks.append(loop.spawn(self.timers.run, name="timers"))
         log.info("listening", address="{}:{}".format(*self.server.address), recovered=self.recovered)
 
     @property
@@ -115,6 +145,10 @@
     def list(self, wanted: ListExecutions) -> tuple[list[Execution], str | None]:
         return self.deferred.list(wanted)
 
+    def reload(self, config: Config) -> None:
+        """Takes up the schedules of a changed configuration; what else has changed waits for a restart."""
+        self.timers.replace(own_schedules(config))
+
     # The end
 
     def stop(self) -> None:
--- a/walnutpost/store/executions.py
+++ b/walnutpost/store/executions.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import fields
 from pathlib import Path
+from typing import Any
 
 from walnutpost.gateway import Execution, Status
 from walnutpost.loop import Event, Loop
@@ -58,44 +59,56 @@
 
     # Changes
 
-    def add(self, execution: Execution) -> None:
+    def add(self, execution: Execution, also: Change | None = None) -> None:
+        """`also` becomes durable with it, or not at all."""
         marks = ",".join("?" * len(COLUMNS))
         values = _row(execution)
-        self._change(lambda db: db.execute(f"insert into executions values ({marks})", values))
 
-    def update(self, execution: Execution) -> None:
-        self._change(
-            lambda db: db.execute(
+        def change(db: sqlite3.Connection) -> None:
+            db.execute(f"insert into executions values ({marks})", values)
+            if also is not None:
+                also(db)
+
+        self.change(change)
+
+    def update(self, execution: Execution, also: Change | None = None) -> None:
+        values = (
+            int(execution.intended),
+            execution.status.value,
+            execution.ended_at,
+            execution.result,
+            execution.error_type,
+            execution.error_message,
+            execution.id,
+        )
+
+        def change(db: sqlite3.Connection) -> None:
+            db.execute(
                 "update executions set intended=?, status=?, ended_at=?, result=?, error_type=?,"
                 " error_message=? where id=?",
-                (
-                    int(execution.intended),
-                    execution.status.value,
-                    execution.ended_at,
-                    execution.result,
-                    execution.error_type,
-                    execution.error_message,
-                    execution.id,
-                ),
+                values,
             )
-        )
+            if also is not None:
+                also(db)
+
+        self.change(change)
 
     def intend(self, ident: str) -> None:
         """Notes that an attempt may leave from now on."""
-        self._change(lambda db: db.execute("update executions set intended=1 where id=?", (ident,)))
+        self.change(lambda db: db.execute("update executions set intended=1 where id=?", (ident,)))
 
     def remove(self, ident: str) -> None:
-        self._change(lambda db: db.execute("delete from executions where id=?", (ident,)))
+        self.change(lambda db: db.execute("delete from executions where id=?", (ident,)))
 
     def purge(self, ended_before: int) -> None:
         running = Status.RUNNING.value
-        self._change(
+        self.change(
             lambda db: db.execute(
                 "delete from executions where status<>? and ended_at<?", (running, ended_before)
             )
         )
 
-    def _change(self, change: Change) -> None:
+    def change(self, change: Change) -> None:
         done, errors = Event(self._loop), list[Exception]()
         self._waiting.append((change, done, errors))
         if not self._committing:
@@ -139,6 +152,20 @@
 
     # Reading
 
+    def make(self, schema: str) -> None:
+        """Adds tables; before the loop runs."""
+        try:
+            self._db.executescript(schema)
+        except sqlite3.Error as error:
+            raise StoreError(str(error)) from error
+
+    def select(self, query: str) -> list[tuple[Any, ...]]:
+        """Rows of any table; before the loop runs."""
+        try:
+            return self._db.execute(query).fetchall()
+        except sqlite3.Error as error:
+            raise StoreError(str(error)) from error
+
     def open_executions(self) -> list[Execution]:
         """All that have no fate yet, soonest deadline first; read at start, before the loop runs."""
         return self._select("where status=? order by expires_at", (Status.RUNNING.value,))
