A worker told to drain with a new start gets no load order rescued from it

Cause: a list line with a new start time was taken before the line's state, so what was rescued from the worker could go back to it as a load order at the moment it was told to drain.

--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -291,3 +291,13 @@
     rid = rig.ask()
     assert not of(api.Send, rig.actions) and not orders(rig.actions)
     assert [a.request for a in of(api.Refuse, rig.pass_time(4 * SECOND))] == [rid]
+
+
+def test_a_worker_told_to_drain_with_a_new_start_gets_nothing_that_is_rescued_from_it() -> None:
+    """Guards rule 3: its copies are forgotten, its safe requests move, and none of that may name it again."""
+    rig = Rig(workers=1)
+    for _ in range(9):
+        rig.ask()
+    rig.feed(api.HoldEnded(1, 7, api.Outcome.OK, 1000, 1))
+    rig.listed(api.ListKind.DELTA, worker(1, api.WorkerState.DRAINING, rig.now))
+    assert not [a for a in rig.actions if isinstance(a, api.Send | api.Hold) and a.worker == 1]
--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -617,10 +617,11 @@
                 self._leave(w)
         for wid, info in named.items():
             w = self._workers.setdefault(wid, _Worker(info, info.started_at))
-            if info.started_at > w.info.started_at:
+            restarted = info.started_at > w.info.started_at
+            w.info, w.ready, w.weight = info, info.state is WorkerState.READY, self._weight(info)
+            if restarted:  # after `ready`: what is rescued must not come back to one that drains again
                 self._void(w)
                 w.started, w.silent_since, w.asked, w.signs, w.strain = info.started_at, None, None, 0.0, 0.0
-            w.info, w.ready, w.weight = info, info.state is WorkerState.READY, self._weight(info)
             if not w.ready:
                 self._leave(w, info.state is WorkerState.GONE)
         self._list_number += weights != [w.weight for w in self._workers.values()]  # else the orders stay
