Both fronts ask for deferred calls in one place; dead code and untrue words removed

Cause: read once more, the change had the parameters of a deferred call in four places, the front end passing calls through, an API error raised in the daemon, a collector setting that gained nothing, counters nobody read, a benchmark that promised figures it did not print, and a test line that could not fail.

Change: fronts/calls.py; a page's query is the store's own type, its marker is read where the API is; the rest is gone.

--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -22,7 +22,7 @@
 from hdrh.histogram import HdrHistogram
 
 from walnutpost.config import Config, WorkerLine
-from walnutpost.daemon import FrontEnd, calm_collector
+from walnutpost.daemon import FrontEnd
 from walnutpost.http import BadMessage, Exchange, Response, encode_request
 from walnutpost.http.server import serve_on
 from walnutpost.loop import Event, Loop, connect
@@ -141,7 +141,6 @@
 
     def start(loop: Loop) -> tuple[str, int]:
         address = FrontEnd(loop, config.model_copy(update={"front": front}), Silent()).address
-        calm_collector()
         return address
 
     return start
--- a/benchmarks/firings.py
+++ b/benchmarks/firings.py
@@ -16,29 +16,16 @@
 
 from hdrh.histogram import HdrHistogram
 
-from benchmarks.calls import FORK, Served, Silent, null_worker, refusal
+from benchmarks.calls import FORK, Served, Silent, worker
 from walnutpost.config import Config, WorkerLine
-from walnutpost.daemon import FrontEnd, calm_collector
-from walnutpost.http import Connection, Exchange, Response, encode_request
-from walnutpost.http.server import serve_on
+from walnutpost.daemon import FrontEnd
+from walnutpost.http import Connection, encode_request
 from walnutpost.loop import Loop
 
 SCHEDULES, PACE, SECONDS = 10_000, 5_000, 8
 WALL = 1_800_000_000 * 1_000_000 - 20_000_000  # twenty seconds before a full hour
 
 
-def worker(loop: Loop) -> tuple[str, int]:
-    loads = [0]
-
-    def handle(exchange: Exchange) -> Response:
-        loads[0] += exchange.request.target.endswith(b"/load")
-        if exchange.request.target == b"/loads":
-            return Response(200, {}, str(loads[0]).encode())
-        return null_worker(exchange)
-
-    return serve_on(loop, ("127.0.0.1", 0), handle, refusal).address
-
-
 def front_end(address: tuple[str, int]) -> Callable[[Loop], tuple[str, int]]:
     lines = {f"s{n}": {"cron": "0 * * * *", "function": "price"} for n in range(SCHEDULES)}
     told: dict[str, Any] = {
@@ -62,7 +49,6 @@
             Silent(),
             wall=lambda: WALL + time.time_ns() // 1000 - began,
         )
-        calm_collector()
         return end.address
 
     return start
--- a/benchmarks/library.py
+++ b/benchmarks/library.py
@@ -9,8 +9,10 @@
 import gc
 import time
 from collections import deque
+from dataclasses import replace
 
-from walnutpost import interface as api
+from tests.rig import SAFE
+from tests.rig import SETTINGS as BASE
 from walnutpost.gateway import (
     AttemptDone,
     CallArrived,
@@ -27,31 +29,7 @@
 
 SECOND = 1_000_000
 CALLS, GAP = 10_000, 400  # microseconds between two calls
-SETTINGS = api.Settings(
-    classes=(
-        api.RequestClass(SECOND, 5 * SECOND // 2, 1.0, 0.2, api.Effect.SAFE, api.Group.ALL, 0, False, 0.0),
-    ),
-    tenants=(),
-    limits=api.Limits(True, True, True, True, 5, SECOND),
-    guards=api.Guards(16_000, SECOND, 0, 1.0, 1.0, 0, 0, 0.0, 0.0, 0),
-    prices=api.Prices(0.0, 0.0, 0.0, 0.0, 0.0, 0.0),
-    zone=0,
-    front_ends=1,
-    index=0,
-    tick=4_000,
-    keep_alive=10 * SECOND,
-    order_timeout=10 * SECOND,
-    may_load=True,
-    loads_on_miss=False,
-    tells_warmth=True,
-    tells_crowd=False,
-    must_ask_list=False,
-    weighted=False,
-    worth_by_work=False,
-    over_share_worth=0.1,
-    report_fields=("busy",),
-    memory_by_kind=(),
-)
+SETTINGS = replace(BASE, classes=(replace(SAFE, deadline=5 * SECOND // 2),), report_fields=("busy",))
 CATALOGUE = Catalogue({"price": Function("price", 0, 100.0, 512.0)})
 
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -84,7 +84,6 @@
 
 
 def test_absence_is_a_miss_or_a_load_as_configured() -> None:
-    assert Rig().call() and Rig().answer(1) is None
     rig = Rig()
     assert rig.answer(rig.call()) == (SECOND, "miss")
     rig = Rig(replace(SPEC, loads_on_absence=True))
--- a/walnutpost/cli/run.py
+++ b/walnutpost/cli/run.py
@@ -9,7 +9,7 @@
 
 from walnutpost.config import Config, ConfigError, StandIn, WorkerLine, load
 from walnutpost.config.model import address_of
-from walnutpost.daemon import FrontEnd, calm_collector
+from walnutpost.daemon import FrontEnd
 from walnutpost.loop import Event, Loop
 from walnutpost.standins.fleet import local_store, start_worker
 from walnutpost.standins.store import PackageStore, RemoteStore, StoreServer
@@ -77,7 +77,6 @@
         held.append(end)
         if path is not None:
             loop.on_signal(signal.SIGHUP, lambda: reload(path, end, log))
-        calm_collector()
         stop.wait()
         end.stop()
 
--- a/walnutpost/daemon/core.py
+++ b/walnutpost/daemon/core.py
@@ -75,13 +75,19 @@
             self.answers["left"] += 1
             self.feed(CallerLeft(ticket))
 
-    def wait(
+    def call(
         self,
-        call: CallArrived,
+        function: str,
+        tenant: str | None,
+        payload: bytes,
+        time_left: int,
+        repeat_key: str,
+        repeat: bool,
         request_id: str,
         gone: Callable[[Callable[[], None]], Callable[[], None]],
     ) -> Final | None:
-        """The final answer; None if `gone`'s callback says that the caller has left."""
+        """A synchronous call (fronts.calls.Calls)."""
+        call = CallArrived(self.ticket(), function, payload, time_left, tenant, repeat_key, repeat)
         task, token = self._loop.waiting()
         unarm = gone(lambda: self._wake(task, token, None))
         try:
--- a/walnutpost/daemon/deferred.py
+++ b/walnutpost/daemon/deferred.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from walnutpost.daemon.core import Core
-from walnutpost.fronts.invoke.protocol import ListExecutions, invalid
 from walnutpost.gateway import (
     Admission,
     CallArrived,
@@ -27,7 +26,7 @@
 )
 from walnutpost.interface import RequestClass
 from walnutpost.loop import Event, Loop
-from walnutpost.store import Change, ExecutionStore, StoreError
+from walnutpost.store import Change, ExecutionStore, Listing, StoreError
 
 SAVE_AGAIN = 200_000  # between tries to write a fate down; it is told from memory meanwhile
 STORE_RETRY_AFTER = 1_000_000  # what a client is told to wait when the store takes nothing
@@ -84,7 +83,6 @@
         request_id: str,
         also: Change | None = None,
     ) -> Execution | Refused | None:
-        """`also` is committed with the call, where it is new."""
         digest = blake2b(payload + b"\0" + (tenant or "").encode(), digest_size=16).hexdigest()
         now = self._loop.now()
         name = name or request_id
@@ -215,27 +213,8 @@
         self._core.feed(CallStopped(entry.ticket))
         return entry.execution
 
-    def list(self, wanted: ListExecutions) -> tuple[list[Execution], str | None]:
-        marker = None
-        if wanted.marker is not None:
-            at, _, ident = wanted.marker.partition("-")
-            if not at.isdigit():
-                raise invalid("Marker: a NextMarker of an earlier page is wanted")
-            marker = (int(at), ident)
-        rows = self._store.page(
-            wanted.function,
-            wanted.name,
-            wanted.statuses,
-            wanted.after,
-            wanted.before,
-            wanted.reverse,
-            marker,
-            wanted.most + 1,
-        )
-        more = rows[wanted.most :]
-        rows = rows[: wanted.most]
-        last = rows[-1] if rows else None
-        return rows, f"{last.accepted_at}-{last.id}" if more and last else None
+    def list(self, wanted: Listing) -> tuple[list[Execution], bool]:
+        return self._store.page(wanted)
 
     # Starting and tidying
 
--- a/walnutpost/daemon/front_end.py
+++ b/walnutpost/daemon/front_end.py
@@ -16,9 +16,8 @@
 from walnutpost.daemon.lists import Lists
 from walnutpost.daemon.seen import Seen
 from walnutpost.fronts.invoke import InvokeFront, Names, refusal
-from walnutpost.fronts.invoke.protocol import ListExecutions
 from walnutpost.fronts.timers import TimersFront
-from walnutpost.gateway import CallArrived, Execution, Final, Gateway, Refused
+from walnutpost.gateway import Gateway
 from walnutpost.http import Limits, Server
 from walnutpost.http.server import serve_on
 from walnutpost.interface import ListKind
@@ -99,7 +98,14 @@
         self.deferred.also_at_end = firings.ended
         self.deferred.on_end = self.timers.ended
         self.recovered = self.deferred.recover()
-        invoke = InvokeFront(self, self.catalogue, settings.classes, Names(), us(front.deferred_deadline_ms))
+        invoke = InvokeFront(
+            self.core,
+            self.deferred,
+            self.catalogue,
+            settings.classes,
+            Names(),
+            us(front.deferred_deadline_ms),
+        )
         limits = Limits(front.max_head_bytes, front.max_body_bytes, us(front.head_time_ms))
         address = address_of(front.listen)
         self.server: Server = serve_on(loop, address, invoke.handle, refusal, limits, tap, "front")
@@ -110,42 +116,6 @@
     def address(self) -> tuple[str, int]:
         return self.server.address
 
-    # What the fronts ask for (fronts.invoke.Calls)
-
-    def call(
-        self,
-        function: str,
-        tenant: str | None,
-        payload: bytes,
-        time_left: int,
-        repeat_key: str,
-        repeat: bool,
-        request_id: str,
-        gone: Callable[[Callable[[], None]], Callable[[], None]],
-    ) -> Final | None:
-        arrived = CallArrived(self.core.ticket(), function, payload, time_left, tenant, repeat_key, repeat)
-        return self.core.wait(arrived, request_id, gone)
-
-    def defer(
-        self,
-        function: str,
-        tenant: str | None,
-        payload: bytes,
-        time_left: int,
-        name: str | None,
-        request_id: str,
-    ) -> Execution | Refused | None:
-        return self.deferred.defer(function, tenant, payload, time_left, name, request_id)
-
-    def fate(self, function: str, execution: str) -> Execution | None:
-        return self.deferred.fate(function, execution)
-
-    def stop_execution(self, function: str, execution: str) -> Execution | None:
-        return self.deferred.stop(function, execution)
-
-    def list(self, wanted: ListExecutions) -> tuple[list[Execution], str | None]:
-        return self.deferred.list(wanted)
-
     def reload(self, config: Config) -> None:
         """Takes up the schedules of a changed configuration; what else has changed waits for a restart."""
         self.timers.replace(own_schedules(config))
--- /dev/null
+++ b/walnutpost/fronts/calls.py
@@ -0,0 +1,52 @@
+"""What the fronts need of the core. Every method may wait."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from walnutpost.gateway import Execution, Final, Refused
+from walnutpost.store import Change, Listing
+
+
+class Calls(Protocol):
+    """Synchronous calls."""
+
+    def call(
+        self,
+        function: str,
+        tenant: str | None,
+        payload: bytes,
+        time_left: int,
+        repeat_key: str,
+        repeat: bool,
+        request_id: str,
+        gone: Callable[[Callable[[], None]], Callable[[], None]],
+    ) -> Final | None:
+        """The final answer, or None if the caller left; `gone` arms a callback for that, returns its end."""
+
+
+class DeferredCalls(Protocol):
+    """Deferred calls, whoever names them: a client or a schedule."""
+
+    def defer(
+        self,
+        function: str,
+        tenant: str | None,
+        payload: bytes,
+        time_left: int,
+        name: str | None,
+        request_id: str,
+        also: Change | None = None,
+    ) -> Execution | Refused | None:
+        """The execution that stands for the call, on disk; None where the name stands for another
+        payload. `also` is committed with the call, where it is new."""
+
+    def fate(self, function: str, ident: str) -> Execution | None: ...
+
+    def stop(self, function: str, ident: str) -> Execution | None: ...
+
+    def stop_named(self, function: str, name: str) -> None: ...
+
+    def list(self, wanted: Listing) -> tuple[list[Execution], bool]:
+        """A page, and whether there is more after it."""
--- a/walnutpost/fronts/invoke/front.py
+++ b/walnutpost/fronts/invoke/front.py
@@ -4,57 +4,22 @@
 
 import uuid
 from collections.abc import Callable
-from typing import Protocol
 
+from walnutpost.fronts.calls import Calls, DeferredCalls
 from walnutpost.fronts.invoke import protocol
 from walnutpost.fronts.invoke.protocol import (
     GetExecution,
     Invoke,
-    ListExecutions,
     Names,
     Problem,
     StopExecution,
     invalid,
     missing,
 )
-from walnutpost.gateway import Catalogue, Execution, Final, Function, Refused, UnknownName
+from walnutpost.gateway import Catalogue, Execution, Function, Refused, UnknownName
 from walnutpost.http import Exchange, Response
 from walnutpost.interface import RequestClass
-
-
-class Calls(Protocol):
-    """What a front needs of the core. Every method may wait."""
-
-    def call(
-        self,
-        function: str,
-        tenant: str | None,
-        payload: bytes,
-        time_left: int,
-        repeat_key: str,
-        repeat: bool,
-        request_id: str,
-        gone: Callable[[Callable[[], None]], Callable[[], None]],
-    ) -> Final | None:
-        """The final answer, or None if the caller left; `gone` arms a callback for that and returns its
-        end."""
-
-    def defer(
-        self,
-        function: str,
-        tenant: str | None,
-        payload: bytes,
-        time_left: int,
-        name: str | None,
-        request_id: str,
-    ) -> Execution | Refused | None:
-        """The execution that stands for the call; None where the name stands for another payload."""
-
-    def fate(self, function: str, execution: str) -> Execution | None: ...
-
-    def stop_execution(self, function: str, execution: str) -> Execution | None: ...
-
-    def list(self, wanted: ListExecutions) -> tuple[list[Execution], str | None]: ...
+from walnutpost.store import Listing
 
 
 class InvokeFront:
@@ -63,12 +28,14 @@
     def __init__(
         self,
         calls: Calls,
+        deferred: DeferredCalls,
         catalogue: Catalogue,
         classes: tuple[RequestClass, ...],
         names: Names,
         deferred_most: int,
     ) -> None:
         self._calls = calls
+        self._deferred = deferred
         self._catalogue = catalogue
         self._classes = classes
         self._names = names
@@ -85,16 +52,16 @@
                 case Invoke():
                     return self._invoke(operation, exchange, request_id)
                 case GetExecution(function, ident, with_data):
-                    found = self._known(self._calls.fate(function, ident))
+                    found = self._known(self._deferred.fate(function, ident))
                     return protocol.execution_response(found, self._names, with_data, request_id)
                 case StopExecution(function, ident):
                     return protocol.stop_response(
-                        self._known(self._calls.stop_execution(function, ident)), request_id
+                        self._known(self._deferred.stop(function, ident)), request_id
                     )
-                case ListExecutions():
+                case Listing():
                     self._function(operation.function, None)
-                    rows, marker = self._calls.list(operation)
-                    return protocol.list_response(rows, marker, self._names, request_id)
+                    rows, more = self._deferred.list(operation)
+                    return protocol.list_response(rows, more, self._names, request_id)
         except Problem as error:
             return protocol.problem(error, request_id)
 
@@ -126,7 +93,7 @@
             left = min(call.own_deadline or usual, self._deferred_most)
             # A deferred call that an SDK repeats by itself is the same call, as with a synchronous one.
             name = call.name or (f"sdk-{call.repeat_key}" if _plain(call.repeat_key) else None)
-            execution = self._calls.defer(call.function, call.tenant, call.payload, left, name, request_id)
+            execution = self._deferred.defer(call.function, call.tenant, call.payload, left, name, request_id)
             if execution is None:
                 raise Problem(
                     409,
--- a/walnutpost/fronts/invoke/protocol.py
+++ b/walnutpost/fronts/invoke/protocol.py
@@ -13,13 +13,14 @@
 import math
 import re
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from urllib.parse import parse_qs, unquote
 
 import msgspec
 
 from walnutpost.gateway import Execution, Failed, Failure, Final, Refused, Served, Status
 from walnutpost.http import BadMessage, Request, Response
+from walnutpost.store import Listing
 
 SECOND = 1_000_000
 INVOKE = re.compile(r"/2015-03-31/functions/([^/]+)/invocations")
@@ -97,19 +98,7 @@
     id: str
 
 
-@dataclass(frozen=True, slots=True)
-class ListExecutions:
-    function: str
-    name: str | None = None
-    statuses: frozenset[Status] = field(default_factory=frozenset)
-    after: int | None = None
-    before: int | None = None
-    reverse: bool = False
-    marker: str | None = None
-    most: int = LIST_MOST
-
-
-Operation = Invoke | GetExecution | StopExecution | ListExecutions
+Operation = Invoke | GetExecution | StopExecution | Listing
 
 
 def read(request: Request) -> Operation:
@@ -208,7 +197,7 @@
     return int(left * 1000)
 
 
-def _list(name: str, query: str, request: Request) -> ListExecutions:
+def _list(name: str, query: str, request: Request) -> Listing:
     function, _ = function_name(name)
     told = parse_qs(query)
     try:
@@ -218,18 +207,27 @@
     most = _one(told, "MaxItems") or str(LIST_MOST)
     if not most.isdigit() or int(most) > LIST_MOST:
         raise invalid(f"MaxItems: a whole number from 0 to {LIST_MOST} is wanted")
-    return ListExecutions(
+    return Listing(
         function,
         _one(told, "DurableExecutionName"),
         statuses,
         _time(told, "StartedAfter"),
         _time(told, "StartedBefore"),
         _one(told, "ReverseOrder") == "true",
-        _one(told, "Marker"),
+        _marker(_one(told, "Marker")),
         int(most) or LIST_MOST,
     )
 
 
+def _marker(text: str | None) -> tuple[int, str] | None:
+    if text is None:
+        return None
+    at, _, ident = text.partition("-")
+    if not at.isdigit():
+        raise invalid("Marker: a NextMarker of an earlier page is wanted")
+    return int(at), ident
+
+
 def _time(query: Mapping[str, list[str]], name: str) -> int | None:
     """A query's time: seconds since the epoch, or ISO 8601 as SDKs write it."""
     text = _one(query, name)
@@ -349,7 +347,7 @@
     return _json(body, request_id)
 
 
-def list_response(found: list[Execution], marker: str | None, names: Names, request_id: str) -> Response:
+def list_response(found: list[Execution], more: bool, names: Names, request_id: str) -> Response:
     rows = []
     for e in found:
         row: dict[str, object] = {
@@ -363,8 +361,8 @@
             row["EndTimestamp"] = e.ended_at / SECOND
         rows.append(row)
     body: dict[str, object] = {"DurableExecutions": rows}
-    if marker:
-        body["NextMarker"] = marker
+    if more and found:
+        body["NextMarker"] = f"{found[-1].accepted_at}-{found[-1].id}"
     return _json(body, request_id)
 
 
--- a/walnutpost/fronts/timers/front.py
+++ b/walnutpost/fronts/timers/front.py
@@ -4,9 +4,10 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
-from typing import Any, Protocol
+from typing import Any
 
-from walnutpost.gateway import Execution, Refused, Status
+from walnutpost.fronts.calls import DeferredCalls
+from walnutpost.gateway import Execution, Status
 from walnutpost.loop import Event, Loop
 from walnutpost.schedules import Fire, Planner, Schedule, Skip, execution_name
 from walnutpost.store import Change, FiringStore, StoreError
@@ -19,23 +20,6 @@
 PLAN_AT_ONCE, PLAN_GAP = 20, 5_000
 
 
-class Defers(Protocol):
-    """What this front needs of the core: the deferred calls that clients use."""
-
-    def defer(
-        self,
-        function: str,
-        tenant: str | None,
-        payload: bytes,
-        time_left: int,
-        name: str | None,
-        request_id: str,
-        also: Change | None = None,
-    ) -> Execution | Refused | None: ...
-
-    def stop_named(self, function: str, name: str) -> None: ...
-
-
 class TimersFront:
     """`wall` is the time of day in microseconds; it may jump either way. `seen` is told the newest due
     time that has a fate or a call on disk."""
@@ -45,7 +29,7 @@
         loop: Loop,
         wall: Callable[[], int],
         schedules: Iterable[Schedule],
-        calls: Defers,
+        calls: DeferredCalls,
         store: FiringStore,
         doubtful: int,
         at_once: int,
@@ -193,8 +177,3 @@
                 kind=execution.status.value,
                 why=execution.error_message,
             )
-
-    @property
-    def waiting(self) -> int:
-        """Firings that have not been accepted yet."""
-        return len(self._queue) + self._firing
--- a/walnutpost/http/messages.py
+++ b/walnutpost/http/messages.py
@@ -39,7 +39,6 @@
     headers: dict[str, str]  # names in lower case; a repeated one's values joined by ", "
     body: bytes = b""
     keep_alive: bool = True
-    expects_continue: bool = False
 
 
 @dataclass(slots=True)
--- a/walnutpost/loop/scheduler.py
+++ b/walnutpost/loop/scheduler.py
@@ -138,7 +138,6 @@
         self._descriptors: dict[int, _Descriptor] = {}
         self._current: Task[Any] | None = None
         self._tasks: dict[Task[Any], None] = {}
-        self._now = self.clock.now()
         self._jobs: queue.SimpleQueue[Callable[[], object] | None] | None = None
         self._thread: threading.Thread | None = None
         self._job_count = 0
--- a/walnutpost/store/__init__.py
+++ b/walnutpost/store/__init__.py
@@ -1,6 +1,6 @@
 """What must outlive a process."""
 
-from walnutpost.store.executions import Change, ExecutionStore, StoreError
+from walnutpost.store.executions import Change, ExecutionStore, Listing, StoreError
 from walnutpost.store.firings import FiringStore, history
 
-__all__ = ["Change", "ExecutionStore", "FiringStore", "StoreError", "history"]
+__all__ = ["Change", "ExecutionStore", "FiringStore", "Listing", "StoreError", "history"]
--- a/walnutpost/store/executions.py
+++ b/walnutpost/store/executions.py
@@ -4,8 +4,8 @@
 
 import os
 import sqlite3
-from collections.abc import Callable, Iterable, Sequence
-from dataclasses import fields
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, fields
 from pathlib import Path
 from typing import Any
 
@@ -32,6 +32,21 @@
     """The store did not take or give something; nothing of the change stands."""
 
 
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """A page of one function's executions, in order of acceptance or the reverse. Times in microseconds,
+    exclusive; `marker` is acceptance and id of the last one seen."""
+
+    function: str
+    name: str | None
+    statuses: frozenset[Status]
+    after: int | None
+    before: int | None
+    reverse: bool
+    marker: tuple[int, str] | None
+    most: int
+
+
 Change = Callable[[sqlite3.Connection], object]
 
 
@@ -44,7 +59,6 @@
         self._loop = loop
         self._waiting: list[tuple[Change, Event, list[Exception]]] = []
         self._committing = False
-        self.commits = 0
         try:
             path.parent.mkdir(parents=True, exist_ok=True)
             os.close(os.open(path, os.O_CREAT | os.O_RDWR, 0o600))
@@ -124,7 +138,6 @@
                 batch, self._waiting = self._waiting[:BATCH_MOST], self._waiting[BATCH_MOST:]
                 try:
                     self._loop.blocking(self._commit, batch)
-                    self.commits += 1
                 except Exception as error:
                     for _, _, errors in batch:
                         if not errors:
@@ -176,36 +189,26 @@
     def named(self, function: str, name: str) -> Execution | None:
         return next(iter(self._read("where function=? and name=?", (function, name))), None)
 
-    def page(
-        self,
-        function: str,
-        name: str | None,
-        statuses: Iterable[Status],
-        after: int | None,
-        before: int | None,
-        reverse: bool,
-        marker: tuple[int, str] | None,
-        most: int,
-    ) -> list[Execution]:
-        """In order of acceptance, or the reverse; `marker` is time and id of the last one seen."""
-        where, values = ["function=?"], list[object]([function])
-        if name is not None:
+    def page(self, wanted: Listing) -> tuple[list[Execution], bool]:
+        """Those wanted, and whether there are more after them."""
+        where, values = ["function=?"], list[object]([wanted.function])
+        if wanted.name is not None:
             where.append("name=?")
-            values.append(name)
-        wanted = [s.value for s in statuses]
-        if wanted:
-            where.append(f"status in ({','.join('?' * len(wanted))})")
-            values += wanted
-        for bound, sign in ((after, ">"), (before, "<")):
+            values.append(wanted.name)
+        if wanted.statuses:
+            where.append(f"status in ({','.join('?' * len(wanted.statuses))})")
+            values += [s.value for s in wanted.statuses]
+        for bound, sign in ((wanted.after, ">"), (wanted.before, "<")):
             if bound is not None:
                 where.append(f"accepted_at{sign}?")
                 values.append(bound)
-        if marker is not None:
-            where.append(f"(accepted_at, id) {'<' if reverse else '>'} (?, ?)")
-            values += marker
-        order = "desc" if reverse else "asc"
+        if wanted.marker is not None:
+            where.append(f"(accepted_at, id) {'<' if wanted.reverse else '>'} (?, ?)")
+            values += wanted.marker
+        order = "desc" if wanted.reverse else "asc"
         text = f"where {' and '.join(where)} order by accepted_at {order}, id {order} limit ?"
-        return self._read(text, (*values, most))
+        rows = self._read(text, (*values, wanted.most + 1))
+        return rows[: wanted.most], len(rows) > wanted.most
 
     def _read(self, where: str, values: Sequence[object]) -> list[Execution]:
         return self._loop.blocking(self._select, where, values)
