--- a/benchmarks/firings.py
+++ b/benchmarks/firings.py
@@ -2,12 +2,15 @@
 before.
 
 One front end, stand-in workers that answer at once, a client that asks at a steady pace; prints the
-client's percentiles for both, firings a second, and the load orders of the window.
+client's percentiles for both, the calls of the schedules that ended each second, and the load orders
+against the ration that the front end's calls of the window give.
 """
 
 from __future__ import annotations
 
+import json
 import os
+import sqlite3
 import tempfile
 import time
 from collections.abc import Callable
@@ -16,14 +19,56 @@
 
 from hdrh.histogram import HdrHistogram
 
-from benchmarks.calls import FORK, Served, Silent, worker
+from benchmarks.calls import FORK, LOCAL, Served, Silent, null_worker, refusal
 from walnutpost.config import Config, WorkerLine
 from walnutpost.daemon import FrontEnd
-from walnutpost.http import Connection, encode_request
+from walnutpost.http import Connection, Exchange, Response, encode_request
+from walnutpost.http.server import serve_on
 from walnutpost.loop import Loop
 
 SCHEDULES, PACE, SECONDS = 10_000, 5_000, 8
 WALL = 1_800_000_000 * 1_000_000 - 20_000_000  # twenty seconds before a full hour
+WINDOW, FREE, SHARE = 10_000_000, 6, 0.2
+ORDERS, CALLS = FORK.SimpleQueue(), FORK.SimpleQueue()
+STORE = Path(tempfile.mkdtemp()) / "calls.db"
+
+
+def counting_worker(loop: Loop) -> tuple[str, int]:
+    """Answers at once, and says when each load order and each hundredth call came."""
+    calls = 0
+
+    def handle(exchange: Exchange) -> Response:
+        nonlocal calls
+        if not exchange.request.target.endswith(b"/load"):
+            calls += 1
+            if calls % 100 == 0:
+                CALLS.put(loop.now())
+        elif json.loads(exchange.request.body)["parameters"]["copies"] > 0:
+            ORDERS.put(loop.now())
+        return null_worker(exchange)
+
+    return serve_on(loop, LOCAL, handle, refusal).address
+
+
+def ration_left(orders: list[int], calls: list[int]) -> float:
+    """The fewest orders left of the ration at any order; `calls` holds the time of each hundredth."""
+    left = FREE + 0.0
+    for at in orders:
+        since = at - WINDOW
+        asked = 100 * sum(since < t <= at for t in calls)
+        left = min(left, FREE + SHARE * asked - sum(since < t <= at for t in orders))
+    return left
+
+
+def ended_a_second() -> list[int]:
+    """Firings whose call had ended by each second from the due time."""
+    db = sqlite3.connect(STORE)
+    rows = db.execute(
+        "select (ended_at - (select min(accepted_at) from executions)) / 1000000, count(*) from executions"
+        " where status='SUCCEEDED' group by 1 order by 1"
+    ).fetchall()
+    db.close()
+    return [count for _, count in rows]
 
 
 def front_end(address: tuple[str, int]) -> Callable[[Loop], tuple[str, int]]:
@@ -32,9 +77,9 @@
         "site": {
             "classes": {"look": {"effect": "safe", "aim_ms": 1000, "deadline_ms": 2500}},
             "functions": {"price": {"class": "look", "memory_mb": 100, "lanes": 512}},
-            "rules": {"load_window_ms": 10_000, "free_loads": 6, "load_share": 0.2},
+            "rules": {"load_window_ms": WINDOW / 1000, "free_loads": FREE, "load_share": SHARE},
         },
-        "front": {"listen": "127.0.0.1:0", "seed": 1, "store": str(Path(tempfile.mkdtemp()) / "calls.db")},
+        "front": {"listen": "127.0.0.1:0", "seed": 1, "store": str(STORE)},
         "schedules": lines,
     }
     config = Config.model_validate(told)
@@ -88,8 +133,15 @@
     return HdrHistogram.decode(ours.recv())
 
 
+def drained(queue: Any) -> list[int]:
+    out = []
+    while not queue.empty():
+        out.append(queue.get())
+    return out
+
+
 def main() -> None:
-    store = Served(worker)
+    store = Served(counting_worker)
     began = time.perf_counter()
     front = Served(front_end(store.address))
     print(f"start with {SCHEDULES} schedules: {time.perf_counter() - began:.1f} s")
@@ -108,6 +160,11 @@
         print(f"| {name} | {got.get_total_count()} | {p50} | {p99} | {p999} | {cpu / 1e6:.2f} |")
     front.stop()
     store.stop()
+    orders, calls = drained(ORDERS), drained(CALLS)
+    print(f"{len(orders)} load orders; fewest left of the ration: {ration_left(orders, calls):.1f}")
+    ended = ended_a_second()
+    whole = ended[1:-1] or ended
+    print(f"firings ended a second: {min(whole)} to {max(whole)}; {sum(ended)} by the end of the window")
 
 
 if __name__ == "__main__":
--- a/benchmarks/schedules.py
+++ b/benchmarks/schedules.py
@@ -20,7 +20,7 @@
 
 SECOND = 1_000_000
 MINUTE, DAY = 60 * SECOND, 86_400 * SECOND
-LOOKS, PROCESSES = 60, 5
+LOOKS, PROCESSES = 60, 6
 
 
 def lines(count: int, seed: int) -> list[Schedule]:
