usage report, explain, verify, chart and invoice; the ledger's decisions tested closely

Several front ends' ledgers are read as one by joining records; invoices are exact decimals whose lines add up.

--- a/walnutpost/cli/main.py
+++ b/walnutpost/cli/main.py
@@ -13,6 +13,7 @@
 
 from walnutpost.cli import logs, run
 from walnutpost.cli.times import local, upcoming
+from walnutpost.cli.usage import usage
 from walnutpost.config import Config, ConfigError, load, own_schedules, schedules
 from walnutpost.schedules import owner_of
 from walnutpost.store import StoreError, history
@@ -135,6 +136,9 @@
     sys.exit(2 if wrong else 0)
 
 
+main.add_command(usage)
+
+
 @main.group()
 def timers() -> None:
     """Cron schedules: what comes, and what became of what was due."""
--- a/walnutpost/store/usage.py
+++ b/walnutpost/store/usage.py
@@ -5,7 +5,7 @@
 import json
 import sqlite3
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +14,7 @@
 from walnutpost.loop import Loop
 from walnutpost.metering import Account, Amount, Batch, Gap, Life, Line, Saved, Seen, Slice
 from walnutpost.metering.ledger import DAY
+from walnutpost.metering.reports import Kept
 from walnutpost.store.database import Database, StoreError
 
 SCHEMA = """
@@ -65,16 +66,6 @@
     at_risk: int = 0
 
 
-@dataclass(slots=True)
-class Kept:
-    """A ledger as read from a file: `days` are lines whose `hour` is a day's begin."""
-
-    lines: list[Line] = field(default_factory=list)
-    days: list[Line] = field(default_factory=list)
-    slices: list[Slice] = field(default_factory=list)
-    closed_to: int = 0
-
-
 class UsageStore(Database):
     def __init__(self, loop: Loop, path: Path) -> None:
         super().__init__(loop, path, SCHEMA)
@@ -82,18 +73,13 @@
     def saved(self) -> tuple[Saved, Run]:
         """Read at start, before the loop runs."""
         state: dict[str, int] = dict(self.select("select name, value from state"))
-        kept = state.get(DROPPED, 0)
-        saved = Saved(
-            _slices(self.select("select * from slices")),
-            [_life(*row) for row in self.select("select * from lives")],
-            [Gap(*row) for row in self.select("select * from gaps")],
-            [_seen(*row) for row in self.select("select * from seen")],
-            closed_to=state.get(CLOSED_TO, 0),
-            drop_before=kept,
-        )
+        try:
+            saved = _saved(self._db, 0, 1 << 62)
+        except sqlite3.Error as error:
+            raise StoreError(str(error)) from error
         query = (
             "select hour, tenant, function, cause, sum(best), sum(least), sum(most) from lines, accounts"
-            f" where id=account and hour>={kept} group by hour, id"
+            f" where id=account and hour>={saved.drop_before} group by hour, id"
         )
         for hour, tenant, function, cause, *amount in self.select(query):
             if any(amount):
@@ -179,29 +165,25 @@
 
 
 def read_ledger(path: Path, since: int, until: int) -> Kept:
-    """The lines of hours from `since` to before `until`, of a file that may be in use; raises StoreError."""
+    """The hours from `since` to before `until` of a file that may be in use; raises StoreError."""
+    lines = (
+        "select hour, tenant, function, cause, kind, best, least, most, at from lines, accounts"
+        " where id=account and hour>=? and hour<? order by hour, id, at"
+    )
+    days = (
+        "select day, tenant, function, cause, kind, best, least, most, 0 from days, accounts"
+        " where id=account and day>=? and day<? order by day, id"
+    )
     try:
         db = sqlite3.connect(f"file:{path}?mode=ro", uri=True, timeout=1)
         try:
             db.execute("begin")  # one moment for all of it
             span = (since, until)
-            rows = db.execute(
-                "select hour, tenant, function, cause, kind, best, least, most, at from lines, accounts"
-                " where id=account and hour>=? and hour<? order by hour, id, at",
-                span,
-            )
-            kept = Kept(
-                lines=[Line(h, Account(t, f, c), k, Amount(*m), at) for h, t, f, c, k, *m, at in rows]
-            )
-            rows = db.execute(
-                "select day, tenant, function, cause, kind, best, least, most from days, accounts"
-                " where id=account and day>=? and day<? order by day, id",
-                span,
-            )
-            kept.days = [Line(h, Account(t, f, c), k, Amount(*m), 0) for h, t, f, c, k, *m in rows]
-            kept.slices = _slices(db.execute("select * from slices where hour>=? and hour<?", span))
-            for (kept.closed_to,) in db.execute("select value from state where name=?", (CLOSED_TO,)):
-                pass
+            kept = Kept(_saved(db, since, until))
+            for query, out in ((lines, kept.lines), (days, kept.days)):
+                for hour, tenant, function, cause, kind, best, least, most, at in db.execute(query, span):
+                    account, amount = Account(tenant, function, cause), Amount(best, least, most)
+                    out.append(Line(hour, account, kind, amount, at))
         finally:
             db.close()
     except sqlite3.Error as error:
@@ -209,6 +191,20 @@
     return kept
 
 
+def _saved(db: sqlite3.Connection, since: int, until: int) -> Saved:
+    """All but what is booked."""
+    state = dict(db.execute("select name, value from state"))
+    span = "where hour>=? and hour<?"
+    return Saved(
+        _slices(db.execute(f"select * from slices {span}", (since, until))),
+        [_life(*row) for row in db.execute("select * from lives")],
+        [Gap(*row) for row in db.execute(f"select * from gaps {span}", (since, until))],
+        [_seen(*row) for row in db.execute(f"select * from seen {span}", (since, until))],
+        closed_to=state.get(CLOSED_TO, 0),
+        drop_before=state.get(DROPPED, 0),
+    )
+
+
 def _life(
     worker: str, started: int, heard: int, memory_mb: int, change: int, forgotten: int, draining: int
 ) -> Life:
--- a/walnutpost/trials/table.py
+++ b/walnutpost/trials/table.py
@@ -28,7 +28,7 @@
         rows.append(
             [name, str(len(part)), *(str(kinds[k]) for k in KINDS), str(other), *(f"{t:.1f}" for t in times)]
         )
-    return _table([head, *rows])
+    return aligned([head, *rows])
 
 
 def rules_table(verdict: Verdict) -> str:
@@ -36,7 +36,7 @@
     for rule in verdict.rules:
         margin = "-" if rule.margin is None else f"{rule.margin:.2f}"
         rows.append([rule.name, str(rule.looked_at), str(len(rule.breaks)), margin])
-    lines = [_table(rows)]
+    lines = [aligned(rows)]
     for rule in verdict.rules:
         for broken in rule.breaks[:BREAKS_SHOWN]:
             lines.append(f"broken: rule {rule.name}: {broken}")
@@ -45,7 +45,7 @@
     return "\n".join(lines)
 
 
-def _table(rows: list[list[str]]) -> str:
+def aligned(rows: list[list[str]]) -> str:
     widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
     return "\n".join(
         "  ".join(
