--- /dev/null
+++ b/benchmarks/metering.py
@@ -0,0 +1,254 @@
+"""Metering: what it costs a call, how open stretches are found, a month's ledger, three rules side by side.
+
+`python -m benchmarks.metering [calls] [stretches] [rules] [month]`, all of them where none is named.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sqlite3
+import statistics
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from urllib.parse import parse_qs
+
+import msgspec
+
+from benchmarks.calls import LOCAL, PAYLOAD, Served, Silent, measure, null_worker, refusal
+from walnutpost.config import Config, WorkerLine
+from walnutpost.daemon import FrontEnd
+from walnutpost.http import Exchange, Response, encode_request
+from walnutpost.http.server import serve_on
+from walnutpost.loop import Loop
+from walnutpost.metering import HOUR, Book, Ledger, Policy, Report, Rule, Saved, Sight, Size, Slice, charge
+from walnutpost.metering.ledger import DAY
+from walnutpost.metering.reports import figures, grouped
+from walnutpost.store import read_ledger
+from walnutpost.store.usage import SCHEMA, Run, write_batch
+
+SECOND = 1_000_000
+START = 1000 * DAY
+ROUNDS, EACH = 16, 1.5
+WORKERS, FUNCTIONS, TENANTS, COPIES, HOURS = 200, 2_000, 50, 30, 720
+
+
+def keeping_worker(loop: Loop) -> tuple[str, int]:
+    """Answers at once, and has a book of twenty copies."""
+    book = Book("w0", loop.now(), 4096)
+    for copy in range(1, 21):
+        book.begin(loop.now(), copy, "price", 100)
+
+    def handle(exchange: Exchange) -> Response:
+        path, _, query = exchange.request.target.decode().partition("?")
+        if path != "/v2/usage":
+            return null_worker(exchange)
+        after = int(parse_qs(query)["after"][0])
+        return Response(200, {}, msgspec.json.encode(book.report(loop.now(), after)))
+
+    return serve_on(loop, LOCAL, handle, refusal).address
+
+
+def front_end(address: tuple[str, int], metered: bool) -> Callable[[Loop], tuple[str, int]]:
+    told = {
+        "site": {
+            "classes": {"look": {"effect": "safe", "aim_ms": 1000, "deadline_ms": 2500}},
+            "functions": {"price": {"class": "look", "memory_mb": 100, "lanes": 512}},
+            "tenants": {"tills": {}, "trade": {}},
+            "default_tenant": "tills",
+        },
+        "front": {"listen": "127.0.0.1:0", "seed": 1, "store": str(Path(tempfile.mkdtemp()) / "calls.db")},
+    }
+    if metered:
+        told["metering"] = {
+            "file": str(Path(tempfile.mkdtemp()) / "usage.db"),
+            "fetch_ms": 1000,
+            "write_ms": 2000,
+            "budgets": {"trade": {"mb_s": 1e9}},
+        }
+    config = Config.model_validate(told)
+    workers = [WorkerLine(name="w0", address="{}:{}".format(*address))]
+    front = config.front.model_copy(update={"workers": workers})
+    return lambda loop: FrontEnd(loop, config.model_copy(update={"front": front}), Silent()).address
+
+
+def calls() -> None:
+    """Pairs of short measurements, in turns one and the other first; and what a call does in the sight."""
+    sight, count = Sight(START, {"price": Size(100, 512, 0)}, 10 * SECOND), 100_000
+    began = time.process_time()
+    for n in range(count):
+        sight.began(START + n * 100, "w0", "price", "tills")
+        sight.ended(START + n * 100 + 50, "w0", "price", "tills")
+    print(f"sight: {(time.process_time() - began) / count * 1e6:.1f} us a call")
+    store = Served(keeping_worker)
+    fronts = [Served(front_end(store.address, metered)) for metered in (False, True)]
+    request = encode_request("POST", "/2015-03-31/functions/price/invocations", "x", {}, PAYLOAD)
+    cpu, rate = [], []
+    for turn in range(ROUNDS):
+        got = [measure(front, request, 32, EACH) for front in fronts[:: 1 - 2 * (turn % 2)]]
+        off, on = got[:: 1 - 2 * (turn % 2)]
+        cpu.append(on["cpu"] / off["cpu"])
+        rate.append(off["rate"] / on["rate"])
+    for name, ratios in (("CPU a call", cpu), ("time a call", rate)):
+        spread = f"{min(ratios):.3f} to {max(ratios):.3f}"
+        print(f"metering on / off, {name}: {statistics.median(ratios):.3f} ({spread}, {ROUNDS} pairs)")
+    for each in (*fronts, store):
+        each.stop()
+
+
+def an_hours_slices(rng: random.Random, worker: str, hour: int, number: int) -> list[Slice]:
+    out = []
+    for copy in range(COPIES):
+        function = f"function-{min(FUNCTIONS - 1, int(rng.paretovariate(0.7))):04}"
+        share = rng.randrange(HOUR // 400)
+        runs = {f"tenant-{rng.randrange(TENANTS):02}": share for _ in range(rng.choice((1, 1, 2, 3)))}
+        after = dict.fromkeys(runs, 10 * SECOND)
+        first = next(iter(runs))
+        copies = number * COPIES + copy + 1
+        out.append(
+            Slice(
+                worker,
+                START,
+                copies,
+                hour,
+                function,
+                200 + copy,
+                hour + HOUR,
+                True,
+                SECOND,
+                0,
+                runs,
+                after,
+                first,
+            )
+        )
+    return out
+
+
+def stretches() -> None:
+    """Finding the open stretches of one worker's start among all that are kept."""
+    known = Ledger(Policy(), Saved(), START)
+    rng = random.Random(1)
+    for number in range(WORKERS):
+        slices = [s for n in range(10) for s in an_hours_slices(rng, f"w{number}", START + n * HOUR, n)]
+        slices[-COPIES:] = [msgspec.structs.replace(s, ended=False) for s in slices[-COPIES:]]
+        known.take(
+            Report(f"w{number}", START, START + 10 * HOUR, 1, 1 << 20, slices), f"w{number}", START + DAY
+        )
+    life = ("w7", START)
+
+    def index() -> int:
+        return len(known._open[life])
+
+    def scan() -> int:
+        return sum(not s.ended and (s.worker, s.started) == life for s in known._slices.values())
+
+    assert index() == scan() == COPIES
+    for look in (index, scan):
+        began = time.perf_counter()
+        for _ in range(20):
+            look()
+        took = (time.perf_counter() - began) / 20
+        print(f"open stretches of one worker among {len(known._slices)}: {look.__name__} {took * 1e6:.1f} us")
+
+
+def rules() -> None:
+    """The same copies under three rules: a steady tenant, a seldom one, one of short bursts, who share."""
+    rng = random.Random(3)
+    book = Book("w", START, 1 << 20)
+    plans = {"steady": (0.2, 0.15), "seldom": (7.0, 0.15), "bursts": (60.0, 2.0)}
+    keep, now, running, copy, idle_since = 10.0, 0.0, 0, 0, -1e9
+    events = []
+    for tenant, (gap, length) in plans.items():
+        at = rng.expovariate(1 / gap)
+        while at < 3600:
+            if tenant != "steady" or at % 600 < 300:  # it pauses five minutes of ten
+                events += [(at, 1, tenant), (at + length, 0, tenant)]
+            at += length + rng.expovariate(1 / gap)
+    for now, begins, tenant in sorted(events):
+        moment = START + int(now * SECOND)
+        if begins:
+            if not running and now - idle_since > keep:
+                if copy:
+                    book.gone(START + int((idle_since + keep) * SECOND), copy)
+                copy += 1
+                book.begin(moment, copy, "f", 100)
+                book.ready(moment + SECOND // 100, copy)
+            book.ran(moment + SECOND // 100, copy, tenant)
+            running += 1
+        else:
+            book.rested(moment + SECOND // 100, copy, tenant)
+            running -= 1
+            idle_since = now
+    book.gone(START + int((idle_since + keep) * SECOND), copy)
+    print("| rule | " + " | ".join(plans) + " | nobody |")
+    print("| --- |" + " --- |" * (len(plans) + 1))
+    slices = book.report(START + 2 * HOUR, 0).slices
+    for rule in Rule:
+        sums: Counter[str] = Counter()
+        for s in slices:
+            sums.update(charge(s, rule))
+        whole = sum(sums.values())
+        shares = [f"{100 * sums[t] / whole:.1f}%" for t in (*plans, "-")]
+        print(f"| {rule.value} | " + " | ".join(shares) + " |")
+
+
+def month() -> None:
+    folder = Path(tempfile.mkdtemp())
+    path = folder / "usage.db"
+    db = sqlite3.connect(path, isolation_level=None)
+    db.execute("pragma journal_mode=wal")
+    db.executescript(SCHEMA)
+    policy = Policy(keep_hours=7 * DAY)
+    known = Ledger(policy, Saved(), START)
+    rng = random.Random(5)
+    deciding = writing = 0.0
+    lines = slices = 0
+    for number in range(HOURS):
+        hour = START + number * HOUR
+        reports = [
+            Report(
+                f"w{w}", START, hour + HOUR, number + 1, 1 << 20, an_hours_slices(rng, f"w{w}", hour, number)
+            )
+            for w in range(WORKERS)
+        ]
+        began = time.perf_counter()
+        for report in reports:
+            known.take(report, report.worker, hour + HOUR)
+        batch = known.batch(hour + HOUR + policy.close_after)
+        assert batch is not None
+        middle = time.perf_counter()
+        db.execute("begin")
+        write_batch(db, batch, Run())
+        db.execute("commit")
+        writing += time.perf_counter() - middle
+        deciding += middle - began
+        began = time.perf_counter()
+        known.written(batch)
+        deciding += time.perf_counter() - began
+        lines, slices = lines + len(batch.lines), slices + len(batch.slices)
+    db.execute("pragma wal_checkpoint(truncate)")
+    db.close()
+    print(f"{HOURS} hours, {WORKERS} workers, {slices} slices, {lines} lines of {FUNCTIONS} functions")
+    print(
+        f"deciding {deciding / slices * 1e6:.1f} us a slice; writing {(slices + lines) / writing:.0f} rows/s"
+    )
+    print(f"on disk: {path.stat().st_size / 1e6:.0f} MB (slices for 2 days, hours for 7, days for all)")
+    began = time.perf_counter()
+    end = START + HOURS * HOUR
+    kept = read_ledger(path, START, end)
+    rows = grouped(figures([kept], policy, end + HOUR, START, end), ["tenant", "function"], {})
+    print(
+        f"report of the month by tenant and function: {len(rows)} rows in {time.perf_counter() - began:.1f} s"
+    )
+
+
+if __name__ == "__main__":
+    parts = {"calls": calls, "stretches": stretches, "rules": rules, "month": month}
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("parts", nargs="*", default=list(parts), metavar="PART", help=", ".join(parts))
+    for name in parser.parse_args().parts:
+        parts[name]()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -120,11 +120,13 @@
     def tap(self, kind: str, name: str) -> Capture:
         return Capture(self.path / f"{name}{SUFFIX}", kind, name, self.loop.now)
 
-    def start_front(self, listed: bool = True) -> FrontEnd:
+    def start_front(self, listed: bool = True, path: Path | None = None) -> FrontEnd:
         front = self.front_config.front.model_copy(update={"workers": self.lines if listed else []})
         config = self.front_config.model_copy(update={"front": front})
         tap = self.tap("front", "front-0") if self.capture else None
-        return FrontEnd(self.loop, config, self.log, tap, self.path, lambda: self.loop.now() + self.wall_off)
+        return FrontEnd(
+            self.loop, config, self.log, tap, path or self.path, lambda: self.loop.now() + self.wall_off
+        )
 
     def relist(self, name: str, **changed: Any) -> None:
         """The front end is told a list in which one worker's line has changed; with `gone`, it has left."""
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -372,6 +372,18 @@
     assert total.least < true == total.most
 
 
+def test_a_book_whose_clock_steps_back_counts_no_time_twice() -> None:
+    book = Book("w", START, 1000)
+    book.begin(START + 10, 1, "f", 100)
+    book.report(START + 60, 0)
+    book.ready(START + 30, 1)
+    book.ran(START + 40, 1, "a")
+    book.rested(START + 80, 1, "a")
+    book.gone(START + 80, 1)
+    (s,) = book.report(START + 90, 0).slices
+    assert (s.loading, s.runs, s.standing) == (50, {"a": 20}, 70)
+
+
 def test_a_clock_that_steps_closes_nothing_twice() -> None:
     worker = Worker(Random(5))
     known = ledger()
@@ -545,7 +557,7 @@
             if not free:
                 count += 1
                 free, copies[count] = [count], ([], now)
-                note("begun", count)
+                note("begun", count, at=now - load)
                 note("ready", count)
             copies[free[0]][0].append(tenant)
             note("ran", free[0], tenant)
@@ -591,7 +603,7 @@
     (5, 901, Standing.PAST),
     (6, 899, Standing.NEAR),
     (7, 2000, Standing.PAST),
-    (60, 10, Standing.WITHIN),  # a new period
+    (60, 750, Standing.WITHIN),  # a new period
     (61, 1000, Standing.PAST),
     (59, 950, Standing.PAST),  # the clock steps back: no new period
 ]
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -6,19 +6,23 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+import pytest
+
 from tests.fleet import SECOND, Fleet
 from walnutpost.daemon.meters import Meters
+from walnutpost.gateway import Order
 from walnutpost.loop import VirtualClock
-from walnutpost.metering import HOUR, Account, Amount, added
+from walnutpost.metering import HOUR, UNATTRIBUTED, Account, Amount, added
 from walnutpost.trials.usage import true_usage
 
 MINUTE = 60 * SECOND
 START = 300 * HOUR - 15 * SECOND  # an hour ends soon
 
 
-def fleet(path: Path, **more: Any) -> Fleet:
+def fleet(path: Path, clock: int = START, **more: Any) -> Fleet:
     metering = {"fetch_ms": 1000, "write_ms": 2000, "close_after_ms": 60_000, **more.pop("metering", {})}
-    return Fleet(path, {"metering": metering, **more}, clock=VirtualClock(START))
+    return Fleet(path, {"metering": metering, **more}, clock=VirtualClock(clock))
 
 
 def meters(f: Fleet) -> Meters:
@@ -26,9 +30,9 @@
     return f.front.meters
 
 
-def metered(f: Fleet) -> dict[Account, Amount]:
+def metered(f: Fleet, of: Meters | None = None) -> dict[Account, Amount]:
     """All that the ledger knows, of every hour from the first."""
-    m = meters(f)
+    m = of or meters(f)
     m.look()
     hours = range(START // HOUR * HOUR - HOUR, f.loop.now() + HOUR, HOUR)
     return added(m.ledger.statement(hour // HOUR * HOUR, f.loop.now()) for hour in hours)
@@ -71,3 +75,198 @@
         agree(f)
 
     f.run(script)
+
+
+def covered(f: Fleet, *ledgers: Meters) -> None:
+    """The truth lies within what each ledger says, and what is charged to anybody is no more than it."""
+    true = truth(f)
+    for m in ledgers or (meters(f),):
+        m.look()
+        known = metered(f, m)
+        total = added([{Account("", ""): a} for a in known.values()])[Account("", "")]
+        assert total.least <= sum(true.values()) <= total.most
+        for account, amount in known.items():
+            if not account.cause and account.tenant != UNATTRIBUTED:
+                assert amount.best <= true[account.tenant, account.function] + 400 * 200
+
+
+def test_a_worker_that_dies_leaves_a_gap_that_covers_what_it_did_not_report(tmp_path: Path) -> None:
+    f = fleet(tmp_path, metering={"silent_ms": 5000})
+
+    def script() -> None:
+        traffic(f, 5)
+        for server in f.workers.values():
+            server.restart()
+        f.loop.sleep(700_000)
+        traffic(f, 15)
+        f.loop.sleep(HOUR // 10)
+        covered(f)
+        gaps = {a.cause: m for a, m in metered(f).items() if a.cause}
+        assert set(gaps) == {"silent"} and 0 < gaps["silent"].most <= 3 * 8192 * 2 * SECOND
+
+    f.run(script)
+
+
+def killed(f: Fleet) -> None:
+    """The front end ends without a word, and another takes its place."""
+    f.front.server.stop_accepting()
+    for task in f.front._tasks:
+        task.cancel()
+    f.loop.sleep(1)
+    f.front.close()
+    f.front = f.start_front()
+
+
+def test_a_front_end_killed_mid_period_counts_on_where_it_was(tmp_path: Path) -> None:
+    f = fleet(tmp_path)
+
+    def script() -> None:
+        for _ in range(3):
+            traffic(f, 6)
+            f.loop.sleep(1_500_000)
+            killed(f)
+        agree(f)
+
+    f.run(script)
+
+
+def test_two_front_ends_with_half_of_the_calls_each_count_each_copy_once(tmp_path: Path) -> None:
+    f = fleet(tmp_path)
+
+    def script() -> None:
+        first, other = f.front, f.start_front(path=tmp_path / "other")
+        for n in range(80):
+            f.front = (first, other)[n % 2]
+            f.loop.spawn(lambda n=n: f.invoke("price", x_amz_tenant_id=("tills", "trade")[n % 3 % 2]))
+            f.loop.sleep(SECOND // 5)
+        for f.front in (first, other):
+            agree(f)
+        f.front = first
+        other.close()
+
+    f.run(script)
+
+
+def test_workers_without_books_are_estimated_within_bounds_also_over_a_kill(tmp_path: Path) -> None:
+    f = fleet(tmp_path)
+
+    def script() -> None:
+        for server in f.workers.values():
+            server.command({"books": False})
+        traffic(f, 7)
+        covered(f)
+        killed(f)
+        traffic(f, 7)
+        covered(f)
+        causes = {a.cause: m for a, m in metered(f).items()}
+        assert set(causes) == {"estimated", "front end down"} and causes["front end down"].most > 0
+
+    f.run(script)
+
+
+def test_a_full_disk_stops_no_call_and_loses_nothing(tmp_path: Path) -> None:
+    f = fleet(tmp_path)
+
+    def script() -> None:
+        traffic(f, 3)
+        db = meters(f)._store._db
+        db.execute("pragma wal_checkpoint(truncate)")
+        pages = db.execute("pragma page_count").fetchone()[0]
+        db.execute(f"pragma max_page_count={pages}")
+        for n in range(200):  # more names than the file's last pages take
+            meters(f).ledger.gap(0, f"source {n}" * 40, "front end down", 0)
+        assert not meters(f).write()
+        traffic(f, 4)
+        assert f.invoke("price").status == 200
+        complaints = [told for event, told in f.log.lines if event == "metering" and "store" in told]
+        assert len(complaints) == 1 and "full" in complaints[0]["store"]
+        db.execute("pragma max_page_count=1000000")
+        assert meters(f).write()
+        agree(f)
+        killed(f)
+        agree(f)
+
+    f.run(script)
+
+
+LIES: dict[str, tuple[Any, str]] = {
+    "no report": (lambda r: {"worker": 1}, "Expected"),
+    "another's": (lambda r: msgspec.structs.replace(r, worker="worker-9"), "found a report of 'worker-9'"),
+    "a start ahead": (lambda r: msgspec.structs.replace(r, started=r.at + HOUR), "found start"),
+}
+
+
+@pytest.mark.parametrize("name", LIES)
+def test_a_report_that_is_no_use_is_said_once_and_calls_go_on(name: str, tmp_path: Path) -> None:
+    lie, complaint = LIES[name]
+    f = fleet(tmp_path)
+
+    def script() -> None:
+        for server in f.workers.values():
+            server.lies = lie
+        assert f.invoke("price").status == 200
+        f.loop.sleep(5 * SECOND)
+        told = [t["contradictions"] for event, t in f.log.lines if event == "metering"]
+        assert len(told) == 3 and all(complaint in notes[0] for notes in told)
+
+    f.run(script)
+
+
+def past_budget(path: Path, action: str) -> Fleet:
+    budget = {"mb_s": 1, "period": "hour", "action": action}
+    return fleet(path, 300 * HOUR - MINUTE, metering={"budgets": {"trade": budget}})
+
+
+def test_past_its_budget_a_tenant_gets_no_new_loads_and_others_and_open_calls_do(tmp_path: Path) -> None:
+    f = past_budget(tmp_path, "refuse new loads")
+
+    def script() -> None:
+        assert f.invoke("price", x_amz_tenant_id="trade").status == 200
+        started = f.loop.spawn(
+            lambda: f.invoke("reserve", x_amz_tenant_id="trade", amz_sdk_invocation_id="8")
+        )
+        f.loop.sleep(100_000)
+        meters(f).look()
+        assert [t["now"] for event, t in f.log.lines if event == "budget"] == ["PAST"]
+        # What is in goes on, asked for again or not; what stands serves; a new load is refused at once.
+        again = f.invoke(
+            "reserve", x_amz_tenant_id="trade", amz_sdk_invocation_id="8", amz_sdk_request="attempt=2"
+        )
+        assert again.status == started.join().status == 200
+        assert f.invoke("price", b"2", x_amz_tenant_id="trade").status == 200
+        f.loop.sleep(15 * SECOND)
+        before = f.loop.now()
+        refused = f.invoke("price", b"3", x_amz_tenant_id="trade")
+        assert refused.status == 429 and f.loop.now() - before < SECOND
+        assert b"budget" in refused.body
+        deferred = f.invoke("price", b"4", x_amz_tenant_id="trade", x_amz_invocation_type="Event")
+        assert deferred.status == 429
+        assert f.invoke("price", b"3", x_amz_tenant_id="tills").status == 200
+        f.loop.sleep(MINUTE)
+        meters(f).look()
+        assert f.invoke("price", b"3", x_amz_tenant_id="trade").status == 200
+
+    f.run(script)
+
+
+def test_past_its_budget_a_tenant_alone_gets_no_further_copies(tmp_path: Path) -> None:
+    for action, scaled in (("no ahead loads", False), ("note", True)):
+        path = tmp_path / action.replace(" ", "-")
+        path.mkdir()
+        f = past_budget(path, action)
+
+        def script(f: Fleet = f, scaled: bool = scaled) -> None:
+            f.invoke("price", x_amz_tenant_id="trade")
+            meters(f).look()
+            orders, send = [], f.front.links.order
+
+            def order(effect: Order, done: Any) -> None:
+                orders.append(effect.copies)
+                send(effect, done)
+
+            f.front.links.order = order  # type: ignore[method-assign]
+            calls = [f.loop.spawn(lambda: f.invoke("price", x_amz_tenant_id="trade")) for _ in range(12)]
+            assert [c.join().status for c in calls] == [200] * 12
+            assert (max(orders, default=0) > 0) is scaled
+
+        f.run(script)
--- a/walnutpost/cli/main.py
+++ b/walnutpost/cli/main.py
@@ -214,9 +214,13 @@
     click.echo(table.calls_table(outcome.results))
     click.echo()
     click.echo(table.rules_table(outcome.verdict))
+    if outcome.usage:
+        click.echo()
+        click.echo(table.usage_table(outcome.usage))
     for failure in outcome.failures:
         click.echo(f"the trial itself: {failure}", err=True)
-    sys.exit(0 if outcome.verdict.kept and not outcome.failures else 1)
+    covered = all(c.covered for c in outcome.usage)
+    sys.exit(0 if outcome.verdict.kept and covered and not outcome.failures else 1)
 
 
 @main.command()
--- a/walnutpost/config/model.py
+++ b/walnutpost/config/model.py
@@ -208,7 +208,7 @@
     write_ms: float = Field(10_000.0, ge=10, le=600_000)
     close_after_ms: Ms = 300_000.0
     silent_ms: Ms = 600_000.0
-    keep_slices_h: int = Field(48, ge=2, le=24 * 366)
+    keep_slices_h: int = Field(24, ge=2, le=24 * 366)
     keep_hours_d: int = Field(35, ge=1, le=3660)
     keep_days_d: int = Field(400, ge=1, le=36_600)
     budgets: dict[Name, BudgetLine] = {}
--- a/walnutpost/daemon/meters.py
+++ b/walnutpost/daemon/meters.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from pathlib import Path
 from typing import Any
 
@@ -129,12 +130,13 @@
             self._complain(worker, notes)
 
     def _complain(self, worker: str, notes: list[str]) -> None:
-        """Once, not at every look."""
-        if notes and notes != self._complaints.get(worker):
+        """Once, not at every look; the figures in it may change."""
+        kinds = [re.sub(r"\d+", "", note) for note in notes]
+        if notes and kinds != self._complaints.get(worker):
             self._log.warning(
                 "metering", worker=worker, contradictions=notes[:5], more=max(0, len(notes) - 5)
             )
-        self._complaints[worker] = notes
+        self._complaints[worker] = kinds
 
     def _see_budgets(self, now: int) -> None:
         if not self.budgets:
--- a/walnutpost/metering/ledger.py
+++ b/walnutpost/metering/ledger.py
@@ -119,7 +119,7 @@
     not heard of is taken to have held memory no longer than `silent_most`."""
 
     close_after: int = HOUR // 12
-    keep_slices: int = 2 * DAY
+    keep_slices: int = DAY
     keep_hours: int = 35 * DAY
     keep_days: int = 400 * DAY
     silent_most: int = HOUR // 6
@@ -312,7 +312,7 @@
     # Statements
 
     def statement(self, hour: int, now: int) -> Statement:
-        """All that is known of the hour; what a worker may have held unheard is counted up to `now`."""
+        """All that is known of the hour at `now`."""
         out: Statement = {}
 
         def add(tenant: str, function: str, cause: str, amount: Amount) -> None:
@@ -358,9 +358,11 @@
             return 0
         next_start = min(
             (o.started for o in self._lives.values() if o.worker == life.worker and o.started > life.started),
-            default=hour + HOUR,
+            default=0,
         )
-        until = min(hour + HOUR, now, next_start, life.heard + self._policy.silent_most)
+        if hour + HOUR > now and not next_start and life.heard + self._policy.silent_most > now:
+            return 0  # it may still be heard of before the hour closes
+        until = min(hour + HOUR, now, next_start or now, life.heard + self._policy.silent_most)
         return life.memory_mb * max(0, until - max(hour, life.heard))
 
     def used(self, since: int, now: int) -> dict[str, int]:
--- a/walnutpost/metering/reports.py
+++ b/walnutpost/metering/reports.py
@@ -63,8 +63,7 @@
         ledger = Ledger(policy, only.saved, now)
         first = max(since, only.saved.closed_to) // HOUR * HOUR
         for hour in range(first, min(until, now + 1), HOUR):
-            # A worker not heard of since the last writing is no gap before the hour closes.
-            out += [Figure(hour, False, a, OPEN, m) for a, m in ledger.statement(hour, 0).items()]
+            out += [Figure(hour, False, a, OPEN, m) for a, m in ledger.statement(hour, now).items()]
         return out
     ledger = Ledger(policy, _joined([k.saved for k in kept]), now)
     kept_since = max((k.saved.drop_before for k in kept), default=0)
@@ -82,8 +81,8 @@
             out.append(Figure(at, folded, account, "closed", _one_of(account, amounts)))
     closed = min((k.saved.closed_to for k in kept), default=0)
     for hour in range(max(since, kept_since) // HOUR * HOUR, min(until, now + 1), HOUR):
-        kind, heard = ("closed", now) if hour < closed else (OPEN, 0)
-        out += [Figure(hour, False, a, kind, m) for a, m in ledger.statement(hour, heard).items()]
+        kind = "closed" if hour < closed else OPEN
+        out += [Figure(hour, False, a, kind, m) for a, m in ledger.statement(hour, now).items()]
     return out
 
 
--- a/walnutpost/trials/run.py
+++ b/walnutpost/trials/run.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 from typing import Any
 
 from walnutpost.config import Config
+from walnutpost.config.settings import us
 from walnutpost.loop import Group, Loop
 from walnutpost.trials.audit import Verdict
 from walnutpost.trials.capture import Capture
@@ -30,10 +31,12 @@
     Slow,
     StoreSlow,
 )
-from walnutpost.trials.stage import Stage, front_name
+from walnutpost.trials.stage import Stage, front_name, ledger_name
+from walnutpost.trials.usage import Compared, compare
 
 SECOND = 1_000_000
 AGEING_STEPS = 8
+METERED_AFTER = 5 * SECOND
 
 
 @dataclass(slots=True)
@@ -43,6 +46,7 @@
     results: list[Result]
     verdict: Verdict
     failures: list[str]
+    usage: list[Compared] = field(default_factory=list)
 
 
 def play(script: Script, config: Config, folder: Path, log: Any) -> Outcome:
@@ -63,12 +67,19 @@
             clients.run()
             log.info("traffic is over", calls=len(clients.results))
         results.extend(clients.results)
+        if config.metering is not None:  # until idle copies are gone, and their end is known
+            loop.sleep(us(config.site.keep_alive_ms) + METERED_AFTER)
 
     try:
         loop.run(main)
     finally:
+        ended = loop.now()
         stage.stop()
-    return Outcome(results, audit_folder(folder), [*failed, *stage.failures])
+    usage: list[Compared] = []
+    if config.metering is not None:
+        ledgers = [folder / ledger_name(index) for index in range(script.front_ends)]
+        usage = compare(folder, ledgers, stage.config, stage.ends, ended)
+    return Outcome(results, audit_folder(folder), [*failed, *stage.failures], usage)
 
 
 def make(stage: Stage, trouble: AnyTrouble, rng: Random, log: Any) -> None:
--- a/walnutpost/trials/stage.py
+++ b/walnutpost/trials/stage.py
@@ -60,6 +60,7 @@
     version: int = 0
     down: set[str] = field(default_factory=set)
     failures: list[str] = field(default_factory=list)
+    ends: dict[str, list[int]] = field(default_factory=dict)  # when each process was killed
 
     # Starting and ending
 
@@ -105,7 +106,11 @@
             "workers": [],
             "workers_file": LIST,
         }
-        config = self._write(f"{front_name(index)}.json", {"front": front})
+        more: dict[str, Any] = {"front": front}
+        if self.config.metering is not None:
+            ledger = self.config.metering.model_copy(update={"file": ledger_name(index)})
+            more["metering"] = ledger.model_dump(mode="json")
+        config = self._write(f"{front_name(index)}.json", more)
         return ["serve", config, "--capture", str(self.folder / (front_name(index) + SUFFIX))]
 
     def _write(self, name: str, more: dict[str, Any]) -> str:
@@ -140,11 +145,18 @@
 
     def stop(self) -> None:
         """Asks all to end, then makes them; only processes started here."""
-        for child in self.children.values():
+        fronts = {front_name(index) for index in range(self.script.front_ends)}
+        self._end(
+            [c for c in self.children.values() if c.name in fronts]
+        )  # they read the workers' last books
+        self._end([c for c in self.children.values() if c.name not in fronts])
+
+    def _end(self, children: Sequence[_Child]) -> None:
+        for child in children:
             if child.process is not None and child.process.poll() is None:
                 child.process.send_signal(signal.SIGCONT)
                 child.process.terminate()
-        for child in self.children.values():
+        for child in children:
             if child.process is None:
                 continue
             try:
@@ -214,6 +226,7 @@
         if process is not None:
             process.kill()
             process.wait()
+            self.ends.setdefault(name, []).append(self.loop.now())
 
     def back_cold(self, name: str) -> None:
         """Starts a killed worker again, where it was; the list tells of it later."""
@@ -245,6 +258,10 @@
     return f"front-{index}"
 
 
+def ledger_name(index: int) -> str:
+    return f"{front_name(index)}-usage.db"
+
+
 def with_one_offs(config: Config, count: int) -> Config:
     """The configuration with functions that are asked for once only; each is like the first safe one."""
     if not count:
--- a/walnutpost/trials/table.py
+++ b/walnutpost/trials/table.py
@@ -8,7 +8,9 @@
 
 from walnutpost.trials.audit import BREAKS_SHOWN, Verdict
 from walnutpost.trials.clients import Result, summary
+from walnutpost.trials.usage import Compared
 
+SECOND = 1_000_000
 LEAST, MOST, DIGITS = 1, 600_000_000, 3
 KINDS = ("served", "refused", "failed", "no answer", "unreachable")
 
@@ -45,6 +47,17 @@
     return "\n".join(lines)
 
 
+def usage_table(compared: list[Compared]) -> str:
+    """Memory-seconds: the workers' own records against the ledgers; the gaps are one sum, beside each."""
+    head = ["tenant", "recorded MB s", "metered MB s", "off %", "of it estimated", "gaps at most", "covered"]
+    rows = [head]
+    for c in compared:
+        amounts = [f"{amount / SECOND:.1f}" for amount in (c.true, c.best)]
+        more = [f"{amount / SECOND:.1f}" for amount in (c.estimated, c.gaps)]
+        rows.append([c.tenant, *amounts, f"{100 * c.off:+.3f}", *more, "yes" if c.covered else "NO"])
+    return aligned(rows)
+
+
 def aligned(rows: list[list[str]]) -> str:
     widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
     return "\n".join(
--- a/walnutpost/trials/usage.py
+++ b/walnutpost/trials/usage.py
@@ -6,11 +6,16 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
 from fractions import Fraction
 from pathlib import Path
 
+from walnutpost.config import Config
+from walnutpost.config.settings import meter_policy
+from walnutpost.metering.reports import figures, grouped, parts
 from walnutpost.standins.model import Lived
+from walnutpost.store import read_ledger
 from walnutpost.trials.capture import read
 from walnutpost.trials.facts import SUFFIX
 
@@ -54,22 +59,75 @@
             out[tenant, function] += memory * time / max(1, len(running))
 
 
-def true_usage_of(folder: Path, ends: dict[str, list[int]], until: int) -> Truth:
-    """From the captures of a trial's workers; `ends` says when each was killed, which it can't record."""
-    out: Truth = defaultdict(Fraction)
+def true_usage_of(folder: Path, ends: dict[str, list[int]], until: int) -> dict[str, Truth]:
+    """By worker, from the captures of a trial; `ends` says when each was killed, which it can't record."""
+    out: dict[str, Truth] = {}
     for path in sorted(folder.glob(f"*{SUFFIX}")):
         events: list[Lived] = []
+        name = ""
         kills: Iterator[int] = iter(())
         for at, what, *rest in read(path):
             if what == "begin":
                 if rest[0] != "worker":
                     break
-                if events:  # another process, after the kill of the last one
+                if name:  # another process, after the kill of the last one
                     events.append(Lived(next(kills, at), "died"))
                 else:
-                    kills = iter(ends.get(rest[1], ()))
+                    name = rest[1]
+                    kills = iter(ends.get(name, ()))
             elif what == "lived":
                 events.append(Lived(*rest))
-        for account, amount in true_usage(events, until).items():
-            out[account] += amount
-    return dict(out)
+        if name:
+            out[name] = true_usage(events, until)
+    return out
+
+
+@dataclass(frozen=True, slots=True)
+class Compared:
+    """MB-microseconds of one tenant: what workers recorded, and what the ledgers say. `gaps` is the most of
+    what ledgers can't attribute, the same for all tenants."""
+
+    tenant: str
+    true: int
+    best: int
+    estimated: int
+    gaps: int
+
+    @property
+    def off(self) -> float:
+        """Share of the truth by which the figure differs."""
+        return (self.best - self.true) / max(1, self.true)
+
+    @property
+    def covered(self) -> bool:
+        """No more than the truth, and no less than it by more than the gaps."""
+        slack = max(10_000_000, self.true // 1_000_000)  # shares are whole microseconds
+        return self.estimated > 0 or self.best - slack <= self.true <= self.best + self.gaps + slack
+
+
+def compare(
+    folder: Path, ledgers: Sequence[Path], config: Config, ends: dict[str, list[int]], until: int
+) -> list[Compared]:
+    """Of a trial that has ended; raises StoreError."""
+    assert config.metering is not None
+    by_worker = true_usage_of(folder, ends, until)
+    true: dict[str, Fraction] = defaultdict(Fraction)
+    for usage in by_worker.values():
+        for (tenant, _), amount in usage.items():
+            true[tenant] += amount
+    since = until - 24 * 3_600_000_000
+    kept = [read_ledger(path, since, until) for path in ledgers]
+    told = grouped(figures(kept, meter_policy(config.metering), until, since, until), ["tenant", "cause"], {})
+    gaps = sum(amount.most - amount.best for (_, cause), amount in told.items() if cause != "estimated")
+    out = []
+    for tenant in sorted({*true, *(t for t, _ in told)}):
+        best = sum(amount.best for (t, _), amount in told.items() if t == tenant)
+        estimated = sum(amount.best for (t, c), amount in told.items() if t == tenant and c == "estimated")
+        out.append(Compared(tenant, round(true[tenant]), best, estimated, gaps))
+    best, estimated = sum(c.best for c in out), sum(c.estimated for c in out)
+    out.append(Compared("all", sum(c.true for c in out), best, estimated, gaps))
+    alive = {worker for worker in by_worker if not ends.get(worker)}
+    recorded = sum(amount for w in alive for amount in by_worker[w].values())
+    metered = sum(p.amount for p in parts(kept, lambda _, s: s.worker in alive))
+    out.append(Compared(f"{len(alive)} workers that did not die", round(recorded), metered, 0, 0))
+    return out
