usage commands tested; reports read workers' records only for open hours

They run on a ledger that a front end wrote: the same rows in each format, explain adding up to the figure, verify finding a changed line and a missing copy, invoices, a chart, bad input named.

--- a/benchmarks/metering.py
+++ b/benchmarks/metering.py
@@ -236,10 +236,10 @@
     print(
         f"deciding {deciding / slices * 1e6:.1f} us a slice; writing {(slices + lines) / writing:.0f} rows/s"
     )
-    print(f"on disk: {path.stat().st_size / 1e6:.0f} MB (slices for 2 days, hours for 7, days for all)")
+    print(f"on disk: {path.stat().st_size / 1e6:.0f} MB (slices for a day, hours for 7, days for all)")
     began = time.perf_counter()
     end = START + HOURS * HOUR
-    kept = read_ledger(path, START, end)
+    kept = read_ledger(path, START, end, records=False)
     rows = grouped(figures([kept], policy, end + HOUR, START, end), ["tenant", "function"], {})
     print(
         f"report of the month by tenant and function: {len(rows)} rows in {time.perf_counter() - began:.1f} s"
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -158,6 +158,13 @@
     def invoke(self, function: str, payload: bytes = b"1", **headers: str) -> Response:
         return self.ask("POST", INVOKE.format(function), payload, **headers)
 
+    def ask_worker(self, name: str, target: str) -> Response:
+        connection = Connection.open(self.loop, self.workers[name].address)
+        try:
+            return connection.ask("GET", target)
+        finally:
+            connection.close()
+
     def warm(self, function: str) -> str:
         """Calls once and returns the worker that has the copy then."""
         return str(json.loads(self.invoke(function).body)["worker"])
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -55,7 +55,11 @@
 }
 SITE = merged(
     BASE,
-    {"site": {"rules": RULES}, "fleet": {"workers": [{"name": f"worker-{i}"} for i in range(1, 5)]}},
+    {
+        "site": {"rules": RULES, "keep_alive_ms": 3000},
+        "metering": {"fetch_ms": 300, "write_ms": 600, "silent_ms": 3000},
+        "fleet": {"workers": [{"name": f"worker-{i}"} for i in range(1, 5)]},
+    },
 )
 SCRIPT = {
     "config": "-",
--- /dev/null
+++ b/tests/test_usage_cli.py
@@ -0,0 +1,139 @@
+"""`walnutpost usage` on a ledger that a front end wrote."""
+
+from __future__ import annotations
+
+import csv
+import io
+import json
+import sqlite3
+from pathlib import Path
+from typing import Any
+from xml.etree import ElementTree
+
+import pytest
+from click.testing import CliRunner
+
+from tests.fleet import BASE, merged
+from tests.test_metering import START, fleet, meters, traffic
+from walnutpost.cli import main
+from walnutpost.cli.usage import Ledgers
+
+METERING = {"price_per_gb_hour": "0.25", "renamed": {"trade": "wholesale"}}
+
+
+@pytest.fixture
+def config(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
+    """A site's file beside the ledger of some seconds' traffic over an hour's end, minutes later."""
+    f = fleet(tmp_path)
+
+    def script() -> None:
+        traffic(f, 20)
+        f.loop.sleep(100_000_000)
+        for name in f.workers:
+            (tmp_path / f"{name}.json").write_bytes(f.ask_worker(name, "/v2/usage").body)
+        meters(f).write()
+
+    f.run(script)
+    ledgers = Ledgers.__init__
+
+    def a_while_ago(self: Any, *told: Any, **named: Any) -> None:
+        monkeypatch.setattr("walnutpost.cli.usage.time.time_ns", lambda: (START + 240_000_000) * 1000)
+        ledgers(self, *told, **named)
+
+    monkeypatch.setattr(Ledgers, "__init__", a_while_ago)
+    path = tmp_path / "site.json5"
+    path.write_text(json.dumps(merged(BASE, {"metering": METERING})))
+    return path
+
+
+def said(*words: object) -> tuple[int, str, str]:
+    result = CliRunner().invoke(main, ["usage", *map(str, words)], catch_exceptions=False)
+    return result.exit_code, result.stdout, result.stderr
+
+
+def test_a_report_says_the_same_in_each_form(config: Path) -> None:
+    code, text, _ = said("report", config, "--format", "json")
+    rows = json.loads(text)
+    assert code == 0 and {r["tenant"] for r in rows} == {"-", "tills", "wholesale"}
+    _, text, _ = said("report", config, "--format", "csv")
+    assert list(csv.DictReader(io.StringIO(text))) == rows
+    _, text, _ = said("report", config)
+    assert [line.split() for line in text.splitlines()] == [list(rows[0]), *(list(r.values()) for r in rows)]
+    _, text, _ = said("report", config, "--by", "kind,hour", "--format", "json")
+    assert [r["kind"] for r in json.loads(text)] == ["closed", "open"]
+    total = sum(float(r["mb_s"]) for r in rows)
+    assert abs(sum(float(r["mb_s"]) for r in json.loads(text)) - total) < 1e-3
+
+
+def test_explain_names_the_stretches_that_make_a_figure(config: Path) -> None:
+    _, text, _ = said("report", config, "--by", "tenant", "--format", "json")
+    figure = next(r["mb_s"] for r in json.loads(text) if r["tenant"] == "wholesale")
+    code, text, _ = said("explain", config, "--tenant", "wholesale", "--most", 1000)
+    assert code == 0 and f"{figure} MB s" in text
+    lines = [line.split() for line in text.splitlines()[1:-1]]
+    assert lines and all(line[0] == "wholesale" and line[1].startswith("worker-") for line in lines)
+
+
+def test_verify_finds_a_change_of_the_file_and_a_copy_that_is_not_in_it(config: Path) -> None:
+    exports = [word for n in (1, 2, 3) for word in ("--records", config.parent / f"worker-{n}.json")]
+    assert said("verify", config, *exports)[0] == 0
+    db = sqlite3.connect(config.parent / "usage.db", isolation_level=None)
+    for statement, complaint in (
+        ("update lines set best=best+1 where rowid=1", "booked Amount"),
+        ("update lines set best=best-1 where rowid=1", ""),
+        ("delete from slices where ended=1", "none in the ledger"),
+    ):
+        db.execute(statement)
+        code, _, errors = said("verify", config, *exports)
+        assert (code, complaint in errors) == (int(bool(complaint)), True)
+    db.close()
+
+
+def test_invoices_and_a_chart(config: Path) -> None:
+    code, text, errors = said("invoice", config, "--digits", 9)
+    assert code == 0 and "not closed yet" in errors
+    totals = {line.split(":")[0]: line.split()[1] for line in text.splitlines() if line[0] != " "}
+    assert set(totals) == {"-", "tills", "wholesale"} and all("." in money for money in totals.values())
+    out = config.parent / "chart.svg"
+    assert said("chart", config, "--out", out)[0] == 0
+    drawn = ElementTree.fromstring(out.read_bytes())
+    assert "wholesale" in "".join(drawn.itertext())
+
+
+WRONG: dict[str, tuple[list[str], str]] = {
+    "a field": (["report", "CONFIG", "--by", "tenant,colour"], "--by: found colour; wanted some of tenant"),
+    "a time": (["report", "CONFIG", "--from", "yesterday"], "found 'yesterday'; wanted a day or an hour"),
+    "an order": (["report", "CONFIG", "--from", "2026-12-02", "--to", "2026-12-01"], "wanted an earlier one"),
+    "an export": (["verify", "CONFIG", "--records", "CONFIG"], "site.json5: "),
+    "no ledger": (["report", "OTHER"], "other.db: unable to open"),
+    "no section": (["report", "PLAIN"], "metering: found nothing; wanted its section"),
+    "no price": (["invoice", "OTHER"], "unable to open"),
+}
+
+
+@pytest.mark.parametrize("name", WRONG)
+def test_bad_input_is_named(name: str, config: Path) -> None:
+    words, complaint = WRONG[name]
+    other, plain = config.with_name("other.json5"), config.with_name("plain.json5")
+    other.write_text(json.dumps(merged(BASE, {"metering": {"file": "other.db"}})))
+    plain.write_text(json.dumps(BASE))
+    places = {"CONFIG": config, "OTHER": other, "PLAIN": plain}
+    code, _, errors = said(*(places.get(word, word) for word in words))
+    assert code == 2 and complaint in errors
+
+
+@pytest.mark.parametrize(
+    ("told", "complaint"),
+    [
+        ({"budgets": {"nobody": {"mb_s": 1}}}, "nobody is none of site.tenants"),
+        ({"keep_slices_h": 48, "keep_hours_d": 1}, "slices kept for less time than hours"),
+        ({"renamed": {"a": "b", "b": "c"}}, "b is renamed again"),
+        ({"price_per_gb_hour": 0.25}, "valid string"),
+        ({"price_per_gb_hour": "free"}, "pattern"),
+    ],
+)
+def test_a_wrong_section_is_a_configuration_error(told: Any, complaint: str, tmp_path: Path) -> None:
+    path = tmp_path / "site.json5"
+    path.write_text(json.dumps(merged(BASE, {"metering": told})))
+    result = CliRunner().invoke(main, ["check-config", str(path)])
+    assert result.exit_code == 2 and complaint in result.stderr and "metering" in result.stderr
--- a/walnutpost/cli/usage.py
+++ b/walnutpost/cli/usage.py
@@ -63,7 +63,10 @@
 class Ledgers:
     """The ledgers of one site's front ends for a span of time; ends the program where one can't be read."""
 
-    def __init__(self, configs: Sequence[Path], since: int | None, until: int | None) -> None:
+    def __init__(
+        self, configs: Sequence[Path], since: int | None, until: int | None, records: bool = False
+    ) -> None:
+        """`records`: workers' records are wanted for closed hours too, as always with several ledgers."""
         self.now = time.time_ns() // 1000
         self.until = until if until is not None else (self.now // HOUR + 1) * HOUR
         self.since = since if since is not None else (self.now - DAY) // HOUR * HOUR
@@ -80,7 +83,8 @@
                 _end(f"{path}: metering: found nothing; wanted its section")
             self.configs.append(config)
             try:
-                self.kept.append(read_ledger(path.parent / config.metering.file, self.since, self.until))
+                file = path.parent / config.metering.file
+                self.kept.append(read_ledger(file, self.since, self.until, records or len(configs) > 1))
             except StoreError as error:
                 _end(str(error))
         assert self.configs[0].metering is not None
@@ -170,7 +174,7 @@
     most: int,
 ) -> None:
     """Which copies, and which stretches of their lives, make a figure. Greatest first."""
-    ledgers = Ledgers(configs, since, until)
+    ledgers = Ledgers(configs, since, until, records=True)
     default, renamed = ledgers.configs[0].site.default_tenant or "", ledgers.metering.renamed
 
     def name(raw: str) -> str:
@@ -215,7 +219,7 @@
     configs: tuple[Path, ...], since: int | None, until: int | None, records: tuple[Path, ...]
 ) -> None:
     """Add everything up again, and compare it with exports of workers' records. Exits 1 on a difference."""
-    ledgers = Ledgers(configs, since, until)
+    ledgers = Ledgers(configs, since, until, records=True)
     exports = []
     for path in records:
         try:
--- a/walnutpost/config/model.py
+++ b/walnutpost/config/model.py
@@ -319,7 +319,9 @@
         budgets = self.metering.budgets if self.metering is not None else {}
         unknown = sorted(set(budgets) - set(self.site.tenants))
         if unknown:
-            raise ValueError(f"budgets of known tenants; {', '.join(unknown)} is none of site.tenants")
+            raise ValueError(
+                f"metering.budgets of known tenants; {', '.join(unknown)} is none of site.tenants"
+            )
         return self
 
     @model_validator(mode="after")
--- a/walnutpost/store/usage.py
+++ b/walnutpost/store/usage.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import sqlite3
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -53,6 +52,7 @@
 ) without rowid;
 create table if not exists state (name text primary key, value integer not null) without rowid;
 """
+_ENCODE, _DECODE = msgspec.json.Encoder().encode, msgspec.json.Decoder().decode
 CLOSED_TO, DROPPED, RUN, RUN_AT, AT_RISK = "closed to", "dropped before", "run", "run at", "at risk"
 
 
@@ -106,10 +106,10 @@
                 int(s.ended),
                 s.loading,
                 s.unused,
-                json.dumps(s.runs),
-                json.dumps(s.after),
+                _ENCODE(s.runs).decode(),
+                _ENCODE(s.after).decode(),
                 s.first,
-                json.dumps(sorted(s.doubts)),
+                _ENCODE(sorted(s.doubts)).decode(),
             )
             for s in batch.slices
         ],
@@ -164,8 +164,9 @@
     db.execute("delete from days where day<?", (batch.end_before,))
 
 
-def read_ledger(path: Path, since: int, until: int) -> Kept:
-    """The hours from `since` to before `until` of a file that may be in use; raises StoreError."""
+def read_ledger(path: Path, since: int, until: int, records: bool = True) -> Kept:
+    """The hours from `since` to before `until` of a file that may be in use; raises StoreError. Without
+    `records`, workers' records are read for hours that are not closed, only."""
     lines = (
         "select hour, tenant, function, cause, kind, best, least, most, at from lines, accounts"
         " where id=account and hour>=? and hour<? order by hour, id, at"
@@ -179,7 +180,8 @@
         try:
             db.execute("begin")  # one moment for all of it
             span = (since, until)
-            kept = Kept(_saved(db, since, until))
+            closed_to = 0 if records else int(dict(db.execute("select * from state")).get(CLOSED_TO, 0))
+            kept = Kept(_saved(db, max(since, closed_to), until))
             for query, out in ((lines, kept.lines), (days, kept.days)):
                 for hour, tenant, function, cause, kind, best, least, most, at in db.execute(query, span):
                     account, amount = Account(tenant, function, cause), Amount(best, least, most)
@@ -222,6 +224,6 @@
     for worker, started, copy, hour, function, mb, heard, ended, *counts, runs, after, first, doubts in rows:
         loading, unused = counts
         s = Slice(worker, started, copy, hour, function, mb, heard, bool(ended), loading, unused)
-        runs, after, doubts = json.loads(runs), json.loads(after), frozenset(json.loads(doubts))
+        runs, after, doubts = _DECODE(runs), _DECODE(after), frozenset(_DECODE(doubts))
         out.append(msgspec.structs.replace(s, runs=runs, after=after, first=first, doubts=doubts))
     return out
