A ledger's batches follow one on the other; a cancelled writer writes nothing twice

A front end that stops cancels its meters, perhaps while a commit is out; the same lines were then offered again, and would have been booked twice. Writing is a task of its own now, and each batch names the one before it, so that a second process on the same file books nothing. '-' is no tenant's name any more, neither in the configuration nor in a worker's report. A refusal for a budget says when its period ends.

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -281,6 +281,7 @@
     "changes backwards": (report_of(forgotten=2), "wanted 0 <= forgotten <= change"),
     "another's copy": (report_of(slice_of(worker="v")), "wanted one of the reporter's"),
     "a negative run time": (report_of(slice_of(runs={"a": -1})), "found a count of -1 us"),
+    "nobody as a tenant": (report_of(slice_of(runs={"-": 1})), "found a tenant '-'"),
     "more time than there was": (report_of(slice_of(loading=MINUTE + 1)), "wanted no more"),
     "more memory than the worker's": (report_of(slice_of(memory_mb=1001)), "found 1001 MB"),
     "not a full hour": (report_of(slice_of(hour=START)), "wanted a full hour"),
@@ -477,6 +478,23 @@
     store.close()
 
 
+def test_two_processes_on_one_file_book_nothing_twice(tmp_path: Path) -> None:
+    store, saved = store_of(tmp_path / "usage.db")
+    one, other = ledger(saved=saved), ledger(saved=saved)
+    for known in (one, other):
+        known.take(report_of(slice_of()), "w", START + MINUTE)
+        batch = known.batch(START + 2 * HOUR)
+        assert batch is not None
+        if known is one:
+            write_batch(store._db, batch, Run())
+            known.written(batch)
+        else:
+            with pytest.raises(sqlite3.DatabaseError, match="found batch 1 in the ledger, wanted 0"):
+                write_batch(store._db, batch, Run())
+    assert added(store.saved()[0].booked.values()) == whole(one, START + 2 * HOUR)
+    store.close()
+
+
 def test_old_lines_are_folded_into_days_and_nothing_of_them_is_lost(tmp_path: Path) -> None:
     policy = Policy(keep_slices=2 * HOUR, keep_hours=DAY, keep_days=30 * DAY)
     store, saved = store_of(tmp_path / "usage.db")
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -130,6 +130,23 @@
     f.run(script)
 
 
+def test_a_writing_whose_waiter_is_cancelled_is_not_written_again(tmp_path: Path) -> None:
+    f = fleet(tmp_path, metering={"write_ms": 600_000})
+
+    def script() -> None:
+        traffic(f, 20)
+        f.loop.sleep(2 * MINUTE)
+        waiter = f.loop.spawn(meters(f).write)
+        f.loop.sleep(0)
+        waiter.cancel()
+        assert meters(f).write()
+        booked = added(meters(f)._store.saved()[0].booked.values())
+        stated = meters(f).ledger.statement(START // HOUR * HOUR, f.loop.now())
+        assert booked == {a: m for a, m in stated.items() if m} and booked
+
+    f.run(script)
+
+
 def test_two_front_ends_with_half_of_the_calls_each_count_each_copy_once(tmp_path: Path) -> None:
     f = fleet(tmp_path)
 
@@ -239,6 +256,7 @@
         refused = f.invoke("price", b"3", x_amz_tenant_id="trade")
         assert refused.status == 429 and f.loop.now() - before < SECOND
         assert b"budget" in refused.body
+        assert 0 < int(refused.headers["retry-after"]) <= 45
         deferred = f.invoke("price", b"4", x_amz_tenant_id="trade", x_amz_invocation_type="Event")
         assert deferred.status == 429
         assert f.invoke("price", b"3", x_amz_tenant_id="tills").status == 200
--- a/walnutpost/config/model.py
+++ b/walnutpost/config/model.py
@@ -106,6 +106,8 @@
 
     @model_validator(mode="after")
     def _names(self) -> Site:
+        if "-" in self.tenants:
+            raise ValueError("tenants by names other than '-', which stands for nobody")
         wrong = sorted({f.class_ for f in self.functions.values()} - set(self.classes))
         if wrong:
             raise ValueError(
--- a/walnutpost/daemon/meters.py
+++ b/walnutpost/daemon/meters.py
@@ -12,7 +12,7 @@
 from walnutpost.gateway import AttemptDone, HoldDone, Order, Refused, Start
 from walnutpost.interface import Outcome
 from walnutpost.links import Links
-from walnutpost.loop import Group, Loop
+from walnutpost.loop import Group, Loop, Task
 from walnutpost.metering import HOUR, Budgets, Ledger, Sight, Standing
 from walnutpost.metering.ledger import DOWN
 from walnutpost.store import StoreError, UsageStore
@@ -45,6 +45,7 @@
         self._without: set[str] = set()  # workers that said they keep no book
         self._sick = ""
         self._written = 0
+        self._writer: Task[bool] | None = None
         if last.at_risk:
             self._was_killed(last)
 
@@ -64,7 +65,8 @@
         now = self._loop.now()
         if self.budgets.lets_in(name, self.sight.stands(now, function)):
             return None
-        return Refused("the tenant's budget of memory is used up, and the call would need a load")
+        why = "the tenant's budget of memory is used up, and the call would need a load"
+        return Refused(why, self.budgets.ends(name, now))
 
     def started(self, now: int, start: Start) -> None:
         tenant = start.tenant if start.tenant is not None else NAMELESS
@@ -155,7 +157,14 @@
             )
 
     def write(self, at_end: bool = False) -> bool:
-        """Waits for the disk; False where it took nothing: the same and more is offered next time."""
+        """Waits for the disk; False where it took nothing: the same and more is offered next time. The
+        writing goes on if whoever waits is cancelled, since what is on disk must be known to be."""
+        while self._writer is not None and not self._writer.done:
+            self._writer.join()
+        self._writer = self._loop.spawn(self._write, at_end, name="ledger")
+        return self._writer.join()
+
+    def _write(self, at_end: bool) -> bool:
         now = self._loop.now()
         batch = self.ledger.batch(now)
         if batch is None:
--- a/walnutpost/metering/__init__.py
+++ b/walnutpost/metering/__init__.py
@@ -2,7 +2,7 @@
 
 from walnutpost.metering.book import Book
 from walnutpost.metering.budgets import Action, Budget, Budgets, Change, Standing
-from walnutpost.metering.charge import UNATTRIBUTED, Rule, charge, split
+from walnutpost.metering.charge import Rule, charge, split
 from walnutpost.metering.ledger import (
     Account,
     Amount,
@@ -18,7 +18,7 @@
     added,
     exactly,
 )
-from walnutpost.metering.records import HOUR, Key, Report, Slice, flaw, join, wrong
+from walnutpost.metering.records import HOUR, UNATTRIBUTED, Key, Report, Slice, flaw, join, wrong
 from walnutpost.metering.sight import Sight, Size
 
 __all__ = [
--- a/walnutpost/metering/charge.py
+++ b/walnutpost/metering/charge.py
@@ -9,10 +9,7 @@
 from collections.abc import Mapping
 from enum import Enum
 
-from walnutpost.metering.records import Slice
-
-UNATTRIBUTED = "-"  # no tenant can have this name, as names are checked
-NAMELESS = ""
+from walnutpost.metering.records import UNATTRIBUTED, Slice
 
 
 class Rule(Enum):
--- a/walnutpost/metering/ledger.py
+++ b/walnutpost/metering/ledger.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
-from walnutpost.metering.charge import UNATTRIBUTED, charge
-from walnutpost.metering.records import HOUR, Key, Report, Slice, flaw, join, wrong
+from walnutpost.metering.charge import charge
+from walnutpost.metering.records import HOUR, UNATTRIBUTED, Key, Report, Slice, flaw, join, wrong
 
 DAY = 24 * HOUR
 CLOSE_MOST = 200  # hours closed in one batch
@@ -136,12 +136,14 @@
     booked: dict[int, Statement] = field(default_factory=dict)  # of the hours whose slices are kept
     closed_to: int = 0
     drop_before: int = 0
+    serial: int = 0  # of the last batch
 
 
 @dataclass(slots=True)
 class Batch:
-    """What one commit must hold, all or nothing. Slices, gaps and sights of hours before `drop_before` go;
-    lines before `fold_before` become lines by the day, days before `end_before` go."""
+    """What one commit must hold, all or nothing, on top of the batch before it: `serial` goes up by one.
+    Slices, gaps and sights of hours before `drop_before` go; lines before `fold_before` become lines by the
+    day, days before `end_before` go."""
 
     slices: list[Slice]
     lives: list[Life]
@@ -152,6 +154,7 @@
     drop_before: int
     fold_before: int
     end_before: int
+    serial: int
 
 
 class Ledger:
@@ -179,6 +182,7 @@
         self._dirty.clear()
         self._fresh = saved.closed_to == 0
         self._now = now
+        self._serial = saved.serial
 
     # Facts
 
@@ -413,6 +417,7 @@
             drop,
             (now - policy.keep_hours) // DAY * DAY,
             (now - policy.keep_days) // DAY * DAY,
+            self._serial + 1,
         )
 
     def _bookings(self, hour: int, kind: str, now: int) -> list[Line]:
@@ -436,6 +441,7 @@
         self._dirty_lives -= {x.key for x in batch.lives if self._lives.get(x.key) is x}
         self._dirty_gaps -= {x.key for x in batch.gaps if self._gaps.get(x.key) is x}
         self._dirty_seen -= {x.key for x in batch.seen if self._seen.get(x.key) is x}
+        self._serial = batch.serial
         before, self.closed_to, self._fresh = self.closed_to, batch.closed_to, False
         for hour in {*self._stale, *range(before, batch.closed_to, HOUR)}:
             self._used.pop(hour, None)
--- a/walnutpost/metering/records.py
+++ b/walnutpost/metering/records.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+UNATTRIBUTED = "-"  # stands for nobody, so no tenant may be called so
 SECOND = 1_000_000
 HOUR = 3600 * SECOND
 AHEAD = 10 * SECOND  # by which a worker's clock may run before ours
@@ -95,6 +96,8 @@
         return f"found hour {s.hour} counted to {s.heard}, wanted a full hour of this start, up to the report"
     if not 0 < s.memory_mb <= report.memory_mb:
         return f"found {s.memory_mb} MB, wanted 1 to the worker's {report.memory_mb}"
+    if UNATTRIBUTED in {*s.runs, *s.after, s.first}:
+        return f"found a tenant {UNATTRIBUTED!r}, wanted a tenant's name, or none"
     if min(counts) < 0:
         return f"found a count of {min(counts)} us, wanted none below 0"
     if s.standing > s.heard - max(s.hour, s.started):
--- a/walnutpost/metering/sight.py
+++ b/walnutpost/metering/sight.py
@@ -10,9 +10,9 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from walnutpost.metering.charge import UNATTRIBUTED, split
+from walnutpost.metering.charge import split
 from walnutpost.metering.ledger import Amount, Seen
-from walnutpost.metering.records import HOUR
+from walnutpost.metering.records import HOUR, UNATTRIBUTED
 
 
 @dataclass(frozen=True, slots=True)
--- a/walnutpost/store/usage.py
+++ b/walnutpost/store/usage.py
@@ -53,7 +53,14 @@
 create table if not exists state (name text primary key, value integer not null) without rowid;
 """
 _ENCODE, _DECODE = msgspec.json.Encoder().encode, msgspec.json.Decoder().decode
-CLOSED_TO, DROPPED, RUN, RUN_AT, AT_RISK = "closed to", "dropped before", "run", "run at", "at risk"
+SERIAL, CLOSED_TO, DROPPED, RUN, RUN_AT, AT_RISK = (
+    "serial",
+    "closed to",
+    "dropped before",
+    "run",
+    "run at",
+    "at risk",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +99,10 @@
 
 
 def write_batch(db: sqlite3.Connection, batch: Batch, run: Run) -> None:
+    (before,) = db.execute("select coalesce(max(value), 0) from state where name=?", (SERIAL,)).fetchone()
+    if before != batch.serial - 1:
+        # Else lines would be booked twice: another process on the same file, or one written unknown to us.
+        raise sqlite3.DatabaseError(f"found batch {before} in the ledger, wanted {batch.serial - 1}: restart")
     db.executemany(
         f"insert or replace into slices values ({','.join('?' * 14)})",
         [
@@ -138,6 +149,7 @@
             (line.hour, line.kind, m.best, m.least, m.most, line.at, a.tenant, a.function, a.cause),
         )
     state = {
+        SERIAL: batch.serial,
         CLOSED_TO: batch.closed_to,
         DROPPED: batch.drop_before,
         RUN: run.started,
@@ -204,6 +216,7 @@
         [_seen(*row) for row in db.execute(f"select * from seen {span}", (since, until))],
         closed_to=state.get(CLOSED_TO, 0),
         drop_before=state.get(DROPPED, 0),
+        serial=state.get(SERIAL, 0),
     )
 
 
