--- a/benchmarks/metering.py
+++ b/benchmarks/metering.py
@@ -18,13 +18,13 @@
 
 import msgspec
 
-from benchmarks.calls import LOCAL, PAYLOAD, Served, Silent, measure, null_worker, refusal
+from benchmarks.calls import LOCAL, PAYLOAD, Silent, null_worker, refusal
 from walnutpost.config import Config, WorkerLine
 from walnutpost.daemon import FrontEnd
-from walnutpost.http import Exchange, Response, encode_request
+from walnutpost.http import Connection, Exchange, Response, encode_request
 from walnutpost.http.server import serve_on
 from walnutpost.loop import Loop
-from walnutpost.metering import HOUR, Book, Ledger, Policy, Report, Rule, Saved, Sight, Size, Slice, charge
+from walnutpost.metering import HOUR, Book, Ledger, Policy, Report, Rule, Saved, Slice, charge
 from walnutpost.metering.ledger import DAY
 from walnutpost.metering.reports import figures, grouped
 from walnutpost.store import read_ledger
@@ -32,7 +32,7 @@
 
 SECOND = 1_000_000
 START = 1000 * DAY
-ROUNDS, EACH = 16, 1.5
+TURNS, IN_A_TURN = 300, 60
 WORKERS, FUNCTIONS, TENANTS, COPIES, HOURS = 200, 2_000, 50, 30, 720
 
 
@@ -52,7 +52,8 @@
     return serve_on(loop, LOCAL, handle, refusal).address
 
 
-def front_end(address: tuple[str, int], metered: bool) -> Callable[[Loop], tuple[str, int]]:
+def front_end(address: tuple[str, int], action: str | None) -> Callable[[Loop], tuple[str, int]]:
+    """`action`: of a budget that is never reached; None without metering."""
     told = {
         "site": {
             "classes": {"look": {"effect": "safe", "aim_ms": 1000, "deadline_ms": 2500}},
@@ -62,12 +63,10 @@
         },
         "front": {"listen": "127.0.0.1:0", "seed": 1, "store": str(Path(tempfile.mkdtemp()) / "calls.db")},
     }
-    if metered:
+    if action is not None:
         told["metering"] = {
             "file": str(Path(tempfile.mkdtemp()) / "usage.db"),
-            "fetch_ms": 1000,
-            "write_ms": 2000,
-            "budgets": {"trade": {"mb_s": 1e9}},
+            "budgets": {"trade": {"mb_s": 1e9, "action": action}},
         }
     config = Config.model_validate(told)
     workers = [WorkerLine(name="w0", address="{}:{}".format(*address))]
@@ -76,27 +75,36 @@
 
 
 def calls() -> None:
-    """Pairs of short measurements, in turns one and the other first; and what a call does in the sight."""
-    sight, count = Sight(START, {"price": Size(100, 512, 0)}, 10 * SECOND), 100_000
-    began = time.process_time()
-    for n in range(count):
-        sight.began(START + n * 100, "w0", "price", "tills")
-        sight.ended(START + n * 100 + 50, "w0", "price", "tills")
-    print(f"sight: {(time.process_time() - began) / count * 1e6:.1f} us a call")
-    store = Served(keeping_worker)
-    fronts = [Served(front_end(store.address, metered)) for metered in (False, True)]
+    """All in one process, in turns of a few calls, so that all see the same machine; the front end's own
+    share of a call is what an echo and the worker alone leave of it."""
+    loop = Loop()
     request = encode_request("POST", "/2015-03-31/functions/price/invocations", "x", {}, PAYLOAD)
-    cpu, rate = [], []
-    for turn in range(ROUNDS):
-        got = [measure(front, request, 32, EACH) for front in fronts[:: 1 - 2 * (turn % 2)]]
-        off, on = got[:: 1 - 2 * (turn % 2)]
-        cpu.append(on["cpu"] / off["cpu"])
-        rate.append(off["rate"] / on["rate"])
-    for name, ratios in (("CPU a call", cpu), ("time a call", rate)):
-        spread = f"{min(ratios):.3f} to {max(ratios):.3f}"
-        print(f"metering on / off, {name}: {statistics.median(ratios):.3f} ({spread}, {ROUNDS} pairs)")
-    for each in (*fronts, store):
-        each.stop()
+    kinds = {"without": None, "metered": "note", "metered, budgets that act": "refuse new loads"}
+
+    def main() -> None:
+        worker = keeping_worker(loop)
+        fronts = {name: front_end(worker, action)(loop) for name, action in kinds.items()}
+        addresses = {"worker alone": worker, **fronts}
+        connections = {name: Connection.open(loop, address) for name, address in addresses.items()}
+        took: dict[str, list[float]] = {name: [] for name in connections}
+        loop.sleep(3 * SECOND)  # the books have been read
+        for turn in range(TURNS):
+            for name in list(connections)[:: 1 - 2 * (turn % 2)]:
+                began = time.process_time()
+                for _ in range(IN_A_TURN):
+                    connections[name].exchange(request)
+                took[name].append((time.process_time() - began) / IN_A_TURN * 1e6)
+        alone = statistics.median(took["worker alone"])
+        plain = statistics.median(took["without"])
+        print(
+            f"CPU of a call, client and worker and front end: {plain:.0f} us; without front end {alone:.0f}"
+        )
+        for name in list(kinds)[1:]:
+            pairs = zip(took[name], took["without"], strict=True)
+            more = statistics.median(on - off for on, off in pairs)
+            print(f"{name}: {more:+.1f} us a call, {1 + more / (plain - alone):.3f} of the front end's own")
+
+    loop.run(main)
 
 
 def an_hours_slices(rng: random.Random, worker: str, hour: int, number: int) -> list[Slice]:
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -13,7 +13,8 @@
 from walnutpost.daemon.meters import Meters
 from walnutpost.gateway import Order
 from walnutpost.loop import VirtualClock
-from walnutpost.metering import HOUR, UNATTRIBUTED, Account, Amount, added
+from walnutpost.metering import HOUR, UNATTRIBUTED, Account, Amount, Batch, added
+from walnutpost.store.usage import Run
 from walnutpost.trials.usage import true_usage
 
 MINUTE = 60 * SECOND
@@ -136,9 +137,16 @@
     def script() -> None:
         traffic(f, 20)
         f.loop.sleep(2 * MINUTE)
+        store = meters(f)._store
+        commit = store.write
+
+        def cancelled_meanwhile(batch: Batch, run: Run) -> None:
+            waiter.cancel()
+            commit(batch, run)
+
+        store.write = cancelled_meanwhile  # type: ignore[method-assign]
         waiter = f.loop.spawn(meters(f).write)
-        f.loop.sleep(0)
-        waiter.cancel()
+        f.until(lambda: waiter.done)
         assert meters(f).write()
         booked = added(meters(f)._store.saved()[0].booked.values())
         stated = meters(f).ledger.statement(START // HOUR * HOUR, f.loop.now())
--- a/walnutpost/daemon/meters.py
+++ b/walnutpost/daemon/meters.py
@@ -13,7 +13,7 @@
 from walnutpost.interface import Outcome
 from walnutpost.links import Links
 from walnutpost.loop import Group, Loop, Task
-from walnutpost.metering import HOUR, Budgets, Ledger, Sight, Standing
+from walnutpost.metering import HOUR, Action, Budgets, Ledger, Sight, Standing
 from walnutpost.metering.ledger import DOWN
 from walnutpost.store import StoreError, UsageStore
 from walnutpost.store.usage import Run
@@ -39,6 +39,9 @@
         self.ledger = Ledger(meter_policy(line), saved, now)
         self.sight = Sight(now, sizes(config.site), self._keep_alive)
         self.budgets = Budgets(budgets(line))
+        # Whether a budget may turn calls or orders away: only then is sight of workers with books wanted.
+        self._acts = any(b.action is not Action.NOTE for b in budgets(line))
+        self._exact: set[str] = set()
         self._began = now
         self._attempts: dict[tuple[int, int], tuple[str, str, str]] = {}
         self._complaints: dict[str, list[str]] = {}
@@ -59,8 +62,10 @@
     # What the core shows (daemon.core.Watch)
 
     def barred(self, function: str, tenant: str | None) -> Refused | None:
+        if not self._acts:
+            return None
         name = tenant if tenant is not None else self._default
-        if not self.budgets or name is None or self.budgets.standing(name) is not Standing.PAST:
+        if name is None or self.budgets.standing(name) is not Standing.PAST:
             return None
         now = self._loop.now()
         if self.budgets.lets_in(name, self.sight.stands(now, function)):
@@ -69,6 +74,8 @@
         return Refused(why, self.budgets.ends(name, now))
 
     def started(self, now: int, start: Start) -> None:
+        if not self._acts and start.worker in self._exact:
+            return
         tenant = start.tenant if start.tenant is not None else NAMELESS
         self._attempts[start.call, start.attempt] = (start.worker, start.function, tenant)
         self.sight.began(now, start.worker, start.function, tenant)
@@ -83,7 +90,7 @@
             self.sight.stood(now, done.worker, done.function, done.copies)
 
     def lets_order(self, now: int, order: Order) -> bool:
-        if not self.budgets or order.copies <= 0:
+        if not self._acts or order.copies <= 0:
             return True
         stands = self.sight.stands(now, order.function)
         return self.budgets.lets_order(self.sight.askers(order.function), stands)
@@ -128,6 +135,7 @@
                 continue
             notes = self.ledger.take(report, worker, self._loop.now())
             if self.ledger.reports(worker):
+                self._exact.add(worker)
                 self.sight.counts_itself(worker)
             self._complain(worker, notes)
 
