--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -113,7 +113,7 @@
         self.store = local_store(self.loop, self.config)
         for line in self.config.fleet.workers:
             tap = (lambda name: self.tap("worker", name)) if self.capture else None
-            server = start_worker(self.loop, self.config, line, self.store, tap)
+            server = start_worker(self.loop, self.config, line, self.store, tap, self.path)
             self.workers[line.name] = server
             self.lines.append(WorkerLine(name=line.name, address="{}:{}".format(*server.address)))
 
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -19,6 +19,7 @@
     "schedules",
     "links",
     "metering",
+    "trust",
     "http",
     "loop",
     "gateway",
@@ -26,7 +27,7 @@
     "interface",
 ]
 # trials.capture is a tap that the shell hands down; standins may use the worker protocol's words.
-NO_IO = ["gateway", "metering", "schedules", "rules", "interface"]
+NO_IO = ["gateway", "metering", "schedules", "trust", "rules", "interface"]
 IO_MODULES = {
     "socket",
     "os",
--- a/walnutpost/cli/main.py
+++ b/walnutpost/cli/main.py
@@ -5,6 +5,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 from contextlib import ExitStack
 from pathlib import Path
 from typing import Any
@@ -12,6 +13,7 @@
 import click
 
 from walnutpost.cli import logs, run
+from walnutpost.cli.keys import keys
 from walnutpost.cli.times import local, upcoming
 from walnutpost.cli.usage import usage
 from walnutpost.config import Config, ConfigError, load, own_schedules, schedules
@@ -22,6 +24,7 @@
 from walnutpost.trials.run import play
 from walnutpost.trials.script import Script
 from walnutpost.trials.stage import StageError
+from walnutpost.trust import BadKeys
 
 CONFIG = click.argument("config", type=click.Path(path_type=Path))
 CAPTURE = click.option(
@@ -51,6 +54,15 @@
         sys.exit(2)
 
 
+def _keys(work: Callable[[], None]) -> None:
+    """Runs `work`; keys that can't be used end the program before it serves."""
+    try:
+        work()
+    except BadKeys as error:
+        click.echo(f"{error}", err=True)
+        sys.exit(2)
+
+
 def _fleet(path: Path) -> Config:
     config = _load(path)
     if config.fleet is None:
@@ -65,7 +77,8 @@
 @click.pass_obj
 def serve(log: Any, config: Path, capture: Path | None) -> None:
     """Run a front end for the workers that CONFIG lists."""
-    run.serve(_load(config), config.parent, log, False, capture, config)
+    checked = _load(config)
+    _keys(lambda: run.serve(checked, config.parent, log, False, capture, config))
 
 
 @main.command()
@@ -74,7 +87,8 @@
 @click.pass_obj
 def up(log: Any, config: Path, capture: Path | None) -> None:
     """Run a front end and the stand-in workers of CONFIG's fleet in one process."""
-    run.serve(_fleet(config), config.parent, log, True, capture, config)
+    checked = _fleet(config)
+    _keys(lambda: run.serve(checked, config.parent, log, True, capture, config))
 
 
 @main.command()
@@ -92,7 +106,7 @@
     if name not in lines:
         click.echo(f"--name: found {name!r}; wanted one of {', '.join(lines)}", err=True)
         sys.exit(2)
-    run.work(checked, lines[name], store, log, capture, cold)
+    _keys(lambda: run.work(checked, lines[name], store, log, capture, cold, config.parent))
 
 
 @main.command("store")
@@ -137,6 +151,7 @@
 
 
 main.add_command(usage)
+main.add_command(keys)
 
 
 @main.group()
--- a/walnutpost/cli/run.py
+++ b/walnutpost/cli/run.py
@@ -60,7 +60,7 @@
         front = config.front
         if fleet and config.fleet is not None:
             store = local_store(loop, config)
-            servers = [start_worker(loop, config, line, store) for line in config.fleet.workers]
+            servers = [start_worker(loop, config, line, store, base=base) for line in config.fleet.workers]
             lines = [
                 WorkerLine(
                     name=line.name,
@@ -88,7 +88,13 @@
 
 
 def work(
-    config: Config, line: StandIn, store_address: str | None, log: Any, capture: Path | None, cold: bool
+    config: Config,
+    line: StandIn,
+    store_address: str | None,
+    log: Any,
+    capture: Path | None,
+    cold: bool,
+    base: Path,
 ) -> None:
     """One stand-in worker. `cold`: it has just been restarted, and says so."""
     loop = make_loop(log)
@@ -99,7 +105,7 @@
             RemoteStore(loop, address_of(store_address)) if store_address else local_store(loop, config)
         )
         tap = (lambda name: Capture(capture, "worker", name, loop.now)) if capture else None
-        server = start_worker(loop, config, line, store, tap)
+        server = start_worker(loop, config, line, store, tap, base)
         if cold:
             server.restart()
         log.info("listening", worker=line.name, address="{}:{}".format(*server.address))
--- a/walnutpost/config/model.py
+++ b/walnutpost/config/model.py
@@ -129,6 +129,7 @@
     state: Literal["ready", "draining"] = "ready"
     weight: float = Field(1.0, gt=0)
     started_at: float = Field(0.0, ge=0)
+    tls_name: WorkerName | None = None  # what its certificate must name; its own name without it
 
     @model_validator(mode="after")
     def _address(self) -> WorkerLine:
@@ -151,6 +152,22 @@
         return self
 
 
+class TlsLine(Strict):
+    """How workers are reached: `roots` that their certificates must lead to, and, where workers ask who
+    calls, the front end's own `chain` and `key`. Files in PEM. Verification can't be turned off."""
+
+    roots: str
+    chain: str | None = None
+    key: str | None = None
+    oldest: Literal["1.2", "1.3"] = "1.3"
+
+    @model_validator(mode="after")
+    def _both(self) -> TlsLine:
+        if (self.chain is None) != (self.key is None):
+            raise ValueError("both chain and key, or none of them")
+        return self
+
+
 class Front(Strict):
     """One front end. Listens on loopback only, since callers are not verified yet."""
 
@@ -177,6 +194,7 @@
     firings_at_once: int = Field(64, ge=1, le=10_000)
     firings_per_s: float = Field(100.0, gt=0, le=1_000_000)
     capture: str | None = None
+    tls: TlsLine | None = None
 
     @model_validator(mode="after")
     def _listen(self) -> Front:
@@ -267,9 +285,19 @@
     fetch_share: Share = 0.6
 
 
+class FleetTls(Strict):
+    """Stand-in workers serve TLS with `{name}.pem` and `{name}.key` of the folder; where `clients`, to those
+    only who show a certificate of its `root.pem`."""
+
+    folder: str
+    clients: bool = False
+
+
 class Fleet(Strict):
     """Stand-in workers, for trials and first steps."""
 
+    tls: FleetTls | None = None
+
     store: StoreStandIn = StoreStandIn()
     work: dict[Name, FunctionWork] = {}
     workers: list[StandIn] = Field(min_length=1)
--- a/walnutpost/daemon/front_end.py
+++ b/walnutpost/daemon/front_end.py
@@ -22,7 +22,7 @@
 from walnutpost.http import Limits, Server
 from walnutpost.http.server import serve_on
 from walnutpost.interface import ListKind
-from walnutpost.links import Links, LinkSettings
+from walnutpost.links import Links, LinkSettings, contexts
 from walnutpost.loop import Loop, Tap, Timeout
 from walnutpost.store import ExecutionStore, FiringStore
 
@@ -69,7 +69,13 @@
             us(front.connection_idle_ms),
             report_fields=tuple(site.reports),
         )
-        self.links = Links(loop, link_settings, f"{front.index}-{secrets.token_hex(6)}", tap)
+        context = None
+        if front.tls is not None:
+            tls = front.tls
+            chain = base / tls.chain if tls.chain is not None else None
+            key = base / tls.key if tls.key is not None else None
+            context = contexts.client(base / tls.roots, chain, key, tls.oldest, wall_time())
+        self.links = Links(loop, link_settings, f"{front.index}-{secrets.token_hex(6)}", tap, context)
         self.core = Core(loop, gateway, self.links, log)
         self._store = ExecutionStore(loop, base / front.store)
         self.deferred = Deferred(
--- a/walnutpost/daemon/lists.py
+++ b/walnutpost/daemon/lists.py
@@ -39,7 +39,8 @@
     def tell(self, kind: ListKind, version: int, lines: list[WorkerLine]) -> None:
         told, addresses, leaving = worker_lines(self._site, lines)
         self._version = version
-        self._links.told(addresses, leaving)
+        names = {line.name: line.tls_name for line in lines if line.tls_name is not None}
+        self._links.told(addresses, leaving, names)
         if self._on_told is not None:
             self._on_told(version, lines)
         self._core.feed(WorkersTold(kind, version, told))
--- a/walnutpost/http/client.py
+++ b/walnutpost/http/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from walnutpost.http.messages import BadMessage, Limits, Response, ResponseReader, encode_request
-from walnutpost.loop import Loop, Stream, Tap, connect
+from walnutpost.loop import Loop, Secure, Stream, Tap, connect, connect_secure
 
 
 class Connection:
@@ -23,7 +23,10 @@
         tap: Tap | None = None,
         role: str = "",
         limits: Limits | None = None,
+        secure: Secure | None = None,
     ) -> Connection:
+        if secure is not None:
+            return cls(connect_secure(loop, address, secure, tap, role), limits)
         return cls(connect(loop, address, tap, role), limits)
 
     def exchange(self, data: bytes) -> Response:
--- a/walnutpost/http/server.py
+++ b/walnutpost/http/server.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from ssl import SSLContext
 
 from walnutpost.http.messages import (
     BadMessage,
@@ -13,7 +14,7 @@
     Response,
     encode_response,
 )
-from walnutpost.loop import Cancelled, Group, Listener, Loop, Stream, Tap, Timeout
+from walnutpost.loop import Cancelled, Group, Listener, Loop, Stream, Tap, Timeout, TlsStream, serving
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LINGER = 1_000_000  # how long a refused sender may go on sending before the connection is cut
@@ -83,6 +84,9 @@
     def _connection(self, stream: Stream) -> None:
         reader = RequestReader(self._limits)
         try:
+            if isinstance(stream, TlsStream):
+                with self._loop.timeout(self._limits.head_time):
+                    stream.handshake()
             self._exchanges(stream, reader)
         except (OSError, Timeout):
             pass  # the client has gone, or is too slow for an answer
@@ -182,9 +186,11 @@
     limits: Limits | None = None,
     tap: Tap | None = None,
     role: str = "",
+    context: SSLContext | None = None,
 ) -> Server:
-    """A server that already accepts, as a task of its own."""
-    server = Server(loop, Listener(loop, address, tap, role), handler, refusal, limits)
+    """A server that already accepts, as a task of its own; under TLS where there is a context."""
+    make = serving(context) if context is not None else Stream
+    server = Server(loop, Listener(loop, address, tap, role, make=make), handler, refusal, limits)
 
     def accepting() -> None:
         try:
--- a/walnutpost/links/links.py
+++ b/walnutpost/links/links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -17,11 +18,13 @@
 from walnutpost.http import BadMessage, Connection, Response
 from walnutpost.interface import Outcome
 from walnutpost.links import codec, orca
-from walnutpost.loop import Cancelled, Loop, Tap, Task, Timeout
+from walnutpost.loop import Cancelled, Loop, Secure, Tap, Task, Timeout, TlsStream
 from walnutpost.metering import Report
+from walnutpost.trust import Ration, RationSettings
 
 ROLE = "link"
 PROBE_TIMEOUT = 1_000_000
+RATION_LOOK = 5_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,8 +41,20 @@
 class Links:
     """Each attempt is a task of its own, so that a slow worker holds up nothing else."""
 
-    def __init__(self, loop: Loop, settings: LinkSettings, prefix: str, tap: Tap | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        settings: LinkSettings,
+        prefix: str,
+        tap: Tap | None = None,
+        context: ssl.SSLContext | None = None,
+    ) -> None:
+        """With `context`, workers are reached over TLS, and prove their names."""
         self._loop = loop
+        self._context = context
+        self._names: dict[str, str] = {}  # what a worker's certificate must name, where not its own name
+        self._sessions: dict[str, ssl.SSLSession] = {}
+        self._ration = Ration(RationSettings())
         self._settings = settings
         self._prefix = prefix  # makes call ids differ between front ends and starts
         self._tap = tap
@@ -49,12 +64,20 @@
         self._trimming: set[str] = set()
         self._attempts: dict[tuple[int, int], Task[None]] = {}
 
-    def told(self, addresses: Mapping[str, tuple[str, int]], leaving: set[str]) -> None:
+    def told(
+        self,
+        addresses: Mapping[str, tuple[str, int]],
+        leaving: set[str],
+        names: Mapping[str, str] | None = None,
+    ) -> None:
         """What the worker list says now. A worker whose address changed is another process: its idle
         connections lead to the old one."""
         for name, address in self._addresses.items():
             if addresses.get(name) != address:
                 self.close_idle(name)
+                self._sessions.pop(name, None)
+                self._ration.gone(name)
+        self._names = dict(names or {})
         self._addresses, self._leaving = dict(addresses), set(leaving)
 
     @property
@@ -250,14 +273,36 @@
             connection.close()
         try:
             with self._loop.timeout(self._settings.dial_timeout):
+                if self._context is not None:
+                    return self._secure(worker, self._context)
                 return Connection.open(self._loop, self._addresses[worker], self._tap, ROLE)
         except Timeout:
             raise ConnectionRefusedError("no connection in time") from None
 
+    def _secure(self, worker: str, context: ssl.SSLContext) -> Connection:
+        """A connection whose other end is the worker, as soon as the ration of handshakes lets it."""
+        address = self._addresses[worker]
+        while not self._ration.take(self._loop.now(), worker):
+            self._loop.sleep(RATION_LOOK)
+        secure = Secure(context, self._names.get(worker, worker), self._sessions.get(worker))
+        try:
+            connection = Connection.open(self._loop, address, self._tap, ROLE, secure=secure)
+        except (OSError, Timeout):
+            self._ration.failed(self._loop.now(), worker)
+            self._sessions.pop(worker, None)
+            raise
+        except BaseException:
+            self._ration.left(worker)
+            raise
+        self._ration.made(worker)
+        return connection
+
     def _put_back(self, worker: str, connection: Connection, whole: bool) -> None:
         idle = self._idle.setdefault(worker, [])
         if whole and connection.reusable and len(idle) < self._settings.idle_most:
             connection.used_at = self._loop.now()
+            if isinstance(connection.stream, TlsStream) and connection.stream.session is not None:
+                self._sessions[worker] = connection.stream.session
             idle.append(connection)
             if worker not in self._trimming:
                 self._trimming.add(worker)
--- a/walnutpost/loop/__init__.py
+++ b/walnutpost/loop/__init__.py
@@ -8,6 +8,7 @@
 from walnutpost.loop.scheduler import Cancelled, Loop, Task, Timeout
 from walnutpost.loop.sockets import Listener, Stream, Tap, connect
 from walnutpost.loop.sync import Event, Full, Group, Queue
+from walnutpost.loop.tls import Secure, TlsStream, connect_secure, serving
 
 __all__ = [
     "Cancelled",
@@ -19,10 +20,14 @@
     "Loop",
     "Queue",
     "RealClock",
+    "Secure",
     "Stream",
     "Tap",
     "Task",
     "Timeout",
+    "TlsStream",
     "VirtualClock",
     "connect",
+    "connect_secure",
+    "serving",
 ]
--- a/walnutpost/loop/sockets.py
+++ b/walnutpost/loop/sockets.py
@@ -126,7 +126,7 @@
         """Closes so that the other end sees a reset, not an orderly end."""
         if not self.closed:
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-        self.close()
+        Stream.close(self)
 
     def close(self) -> None:
         if not self.closed:
@@ -139,6 +139,16 @@
 
 def connect(loop: Loop, address: Address, tap: Tap | None = None, role: str = "") -> Stream:
     """A connection to `address`; OSError if there is none. Bound it with `Loop.timeout`."""
+    sock = connected(loop, address)
+    try:
+        return Stream(loop, sock, tap, role)
+    except OSError:  # gone before it could be named
+        sock.close()
+        raise
+
+
+def connected(loop: Loop, address: Address) -> socket.socket:
+    """A connected socket that never waits by itself."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
@@ -149,7 +159,7 @@
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
             raise OSError(code, os.strerror(code))
-        return Stream(loop, sock, tap, role)
+        return sock
     except BaseException:
         loop.forget(sock.fileno())
         sock.close()
@@ -160,9 +170,17 @@
     """A listening socket. Port 0 takes any free one; `address` tells which."""
 
     def __init__(
-        self, loop: Loop, address: Address, tap: Tap | None = None, role: str = "", backlog: int = 1024
+        self,
+        loop: Loop,
+        address: Address,
+        tap: Tap | None = None,
+        role: str = "",
+        backlog: int = 1024,
+        make: Callable[..., Stream] = Stream,
     ) -> None:
+        """`make` builds a stream of loop, socket, tap and role."""
         self._loop = loop
+        self._make = make
         self._tap = tap
         self._role = role
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -198,7 +216,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._loop.spent()
             try:
-                return Stream(self._loop, sock, self._tap, self._role)
+                return self._make(self._loop, sock, self._tap, self._role)
             except OSError:  # gone before it could be named
                 sock.close()
 
--- a/walnutpost/standins/fleet.py
+++ b/walnutpost/standins/fleet.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
+from pathlib import Path
 
 from walnutpost.config import Config, StandIn
 from walnutpost.config.model import FunctionWork, address_of
 from walnutpost.config.settings import us
 from walnutpost.gateway.catalogue import number_of
+from walnutpost.links import contexts
 from walnutpost.loop import Loop
 from walnutpost.standins.model import FunctionSpec, WorkerModel, WorkerSpec
 from walnutpost.standins.store import LocalStore, PackageStore
@@ -62,8 +65,14 @@
     line: StandIn,
     store: PackageStore,
     tap: Callable[[str], Recorder] | None = None,
+    base: Path | None = None,
 ) -> WorkerServer:
     assert config.fleet is not None
+    context = None
+    if config.fleet.tls is not None:
+        folder, now = (base or Path()) / config.fleet.tls.folder, time.time_ns() // 1000
+        own = (folder / f"{line.name}.pem", folder / f"{line.name}.key")
+        context = contexts.server(*own, folder / "root.pem", config.fleet.tls.clients, now)
     seed = config.fleet.seed ^ number_of(line.name, 32)
     model = WorkerModel(worker_spec(config, line), function_specs(config), seed, loop.now())
-    return WorkerServer(loop, model, store, address_of(line.listen), tap(line.name) if tap else None)
+    return WorkerServer(loop, model, store, address_of(line.listen), tap(line.name) if tap else None, context)
--- a/walnutpost/standins/worker.py
+++ b/walnutpost/standins/worker.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
+from ssl import SSLContext
 from typing import Any, Protocol
 from urllib.parse import parse_qs, unquote
 
@@ -50,6 +51,7 @@
         store: PackageStore,
         address: tuple[str, int],
         tap: Recorder | None = None,
+        context: SSLContext | None = None,
     ) -> None:
         self._loop = loop
         self.model = model
@@ -65,7 +67,9 @@
         self._told = 0
         self._life = 0
         self._stalled = Event(loop)
-        self.server: Server = serve_on(loop, address, self._handle, _refusal, tap=tap, role="worker")
+        self.server: Server = serve_on(
+            loop, address, self._handle, _refusal, tap=tap, role="worker", context=context
+        )
 
     @property
     def address(self) -> tuple[str, int]:
