--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -22,6 +22,8 @@
 from walnutpost.loop import Loop, Secure, TlsStream, VirtualClock
 from walnutpost.standins.authority import Authority, Issued
 from walnutpost.trust import BadKeys, Ration, RationSettings, examine, trusted
+from walnutpost.trust.keeper import DAY as KEEPER_DAY
+from walnutpost.trust.keeper import Keeper
 
 NAME = "worker-7.example.org"
 DAY = timedelta(days=1)
@@ -273,6 +275,60 @@
     assert f.audit().kept and f.runs() == 20
 
 
+def test_keys_and_root_are_replaced_under_load_without_a_dropped_call(tmp_path: Path) -> None:
+    f = secured(tmp_path)
+    new = Authority(NOW, "new root")
+
+    def told() -> list[dict[str, object]]:
+        return [t for event, t in f.log.lines if event == "keys"]
+
+    def script() -> None:
+        asked: list[int] = []
+        over: list[bool] = []
+
+        def ask() -> None:
+            while not over:
+                asked.append(f.invoke("price", b"%d" % len(asked)).status)
+
+        clients = [f.loop.spawn(ask) for _ in range(4)]
+        (tmp_path / "root.pem").write_bytes(CA.root + new.root)  # both are trusted for a while
+        f.until(lambda: len(told()) == 1)
+        new.issue("front").write(tmp_path, "front")
+        whole = (tmp_path / "front.key").read_bytes()
+        (tmp_path / "front.key").write_bytes(whole[:100])  # a half-written key: refused, the old one stays
+        f.until(lambda: len(told()) == 2)
+        (tmp_path / "front.key").write_bytes(whole)
+        for server in f.workers.values():
+            context = server.server.context
+            assert context is not None
+            context.load_verify_locations(cadata=new.root.decode())
+            new.issue(server.model.spec.name).write(tmp_path, "renewed")
+            context.load_cert_chain(tmp_path / "renewed.pem", tmp_path / "renewed.key")
+        f.until(lambda: len(told()) == 3)
+        (tmp_path / "root.pem").write_bytes(new.root)  # the old one is withdrawn
+        f.until(lambda: len(told()) == 4)
+        before = len(asked)
+        f.until(lambda: len(asked) > before + 20)
+        over.append(True)
+        for client in clients:
+            client.join()
+        assert set(asked) == {200} and before > 100
+
+    f.run(script)
+    assert [next(iter(t)) for t in told()] == ["taken", "refused", "taken", "taken"]
+    assert "found no whole private key" in str(told()[1]["refused"])
+    assert f.audit().kept
+
+
+def test_an_end_is_told_ahead_daily_then_hourly() -> None:
+    keeper = Keeper(((1, 1, 1),), 0, 90 * KEEPER_DAY)
+    told = [n / 24 for n in range(92 * 24) if keeper.notice(n * KEEPER_DAY // 24) is not None]
+    assert told[:3] == [60, 61, 62] and told[29:32] == [89, 89 + 1 / 24, 89 + 2 / 24] and told[-1] > 91
+    assert not keeper.looks(((1, 1, 1),)) and keeper.looks(((2, 1, 1),)) and not keeper.looks(((2, 1, 1),))
+    keeper.accepted(0, 400 * KEEPER_DAY)
+    assert keeper.notice(92 * KEEPER_DAY) is None
+
+
 def test_keys_that_do_not_fit_end_the_program_before_it_serves(tmp_path: Path) -> None:
     CA.issue("front").write(tmp_path, "front")
     (tmp_path / "front.key").write_bytes(GOOD.key)
--- a/walnutpost/daemon/front_end.py
+++ b/walnutpost/daemon/front_end.py
@@ -13,6 +13,7 @@
 from walnutpost.config.settings import us
 from walnutpost.daemon.core import Core
 from walnutpost.daemon.deferred import Deferred
+from walnutpost.daemon.keys import Keys
 from walnutpost.daemon.lists import Lists
 from walnutpost.daemon.meters import Meters
 from walnutpost.daemon.seen import Seen
@@ -22,7 +23,7 @@
 from walnutpost.http import Limits, Server
 from walnutpost.http.server import serve_on
 from walnutpost.interface import ListKind
-from walnutpost.links import Links, LinkSettings, contexts
+from walnutpost.links import Links, LinkSettings
 from walnutpost.loop import Loop, Tap, Timeout
 from walnutpost.store import ExecutionStore, FiringStore
 
@@ -69,12 +70,8 @@
             us(front.connection_idle_ms),
             report_fields=tuple(site.reports),
         )
-        context = None
-        if front.tls is not None:
-            tls = front.tls
-            chain = base / tls.chain if tls.chain is not None else None
-            key = base / tls.key if tls.key is not None else None
-            context = contexts.client(base / tls.roots, chain, key, tls.oldest, wall_time())
+        keys = Keys(loop, front.tls, base, wall_time, log) if front.tls is not None else None
+        context = keys.context if keys is not None else None
         self.links = Links(loop, link_settings, f"{front.index}-{secrets.token_hex(6)}", tap, context)
         self.core = Core(loop, gateway, self.links, log)
         self._store = ExecutionStore(loop, base / front.store)
@@ -83,6 +80,8 @@
         )
         self.lists = Lists(loop, self.core, self.links, site, log, tap.told if tap else None)
         self._tasks = [loop.spawn(self.deferred.purge, name="purge")]
+        if keys is not None:
+            self._tasks.append(loop.spawn(keys.follow, self.links, name="keys"))
         self.meters: Meters | None = None
         if config.metering is not None:
             self.meters = self.core.watch = Meters(loop, config, config.metering, self.links, log, base)
--- a/walnutpost/http/server.py
+++ b/walnutpost/http/server.py
@@ -56,6 +56,7 @@
         self.group = Group(loop)
         self.streams: dict[Stream, bool] = {}  # whether a request is being served on it
         self.draining = False
+        self.context: SSLContext | None = None
 
     @property
     def address(self) -> tuple[str, int]:
@@ -191,6 +192,7 @@
     """A server that already accepts, as a task of its own; under TLS where there is a context."""
     make = serving(context) if context is not None else Stream
     server = Server(loop, Listener(loop, address, tap, role, make=make), handler, refusal, limits)
+    server.context = context
 
     def accepting() -> None:
         try:
--- a/walnutpost/links/links.py
+++ b/walnutpost/links/links.py
@@ -80,6 +80,13 @@
         self._names = dict(names or {})
         self._addresses, self._leaving = dict(addresses), set(leaving)
 
+    def renew(self, context: ssl.SSLContext) -> None:
+        """New connections are made with other keys or trust; idle ones, made under the old, are closed."""
+        self._context = context
+        self._sessions.clear()
+        for worker in list(self._idle):
+            self.close_idle(worker)
+
     @property
     def out(self) -> int:
         return len(self._attempts)
@@ -301,8 +308,12 @@
         idle = self._idle.setdefault(worker, [])
         if whole and connection.reusable and len(idle) < self._settings.idle_most:
             connection.used_at = self._loop.now()
-            if isinstance(connection.stream, TlsStream) and connection.stream.session is not None:
-                self._sessions[worker] = connection.stream.session
+            if isinstance(connection.stream, TlsStream):
+                if connection.stream.context is not self._context:
+                    connection.close()  # made under keys that were replaced meanwhile
+                    return
+                if connection.stream.session is not None:
+                    self._sessions[worker] = connection.stream.session
             idle.append(connection)
             if worker not in self._trimming:
                 self._trimming.add(worker)
--- a/walnutpost/loop/tls.py
+++ b/walnutpost/loop/tls.py
@@ -39,6 +39,7 @@
     ) -> None:
         """A client's where `name` is given, else a server's."""
         super().__init__(loop, sock, tap, role)
+        self.context = context
         self._incoming, self._outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
         server = name is None
         self._tls = context.wrap_bio(self._incoming, self._outgoing, server, name, session)
