--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -22,7 +22,7 @@
 from hdrh.histogram import HdrHistogram
 
 from walnutpost.config import Config, WorkerLine
-from walnutpost.daemon import FrontEnd
+from walnutpost.daemon.front_end import FrontEnd
 from walnutpost.http import BadMessage, Exchange, Response, encode_request
 from walnutpost.http.server import serve_on
 from walnutpost.loop import Event, Loop, connect
--- a/benchmarks/firings.py
+++ b/benchmarks/firings.py
@@ -21,7 +21,7 @@
 
 from benchmarks.calls import FORK, LOCAL, Served, Silent, null_worker, refusal
 from walnutpost.config import Config, WorkerLine
-from walnutpost.daemon import FrontEnd
+from walnutpost.daemon.front_end import FrontEnd
 from walnutpost.http import Connection, Exchange, Response, encode_request
 from walnutpost.http.server import serve_on
 from walnutpost.loop import Loop
--- a/benchmarks/metering.py
+++ b/benchmarks/metering.py
@@ -20,7 +20,7 @@
 
 from benchmarks.calls import LOCAL, PAYLOAD, Silent, null_worker, refusal
 from walnutpost.config import Config, WorkerLine
-from walnutpost.daemon import FrontEnd
+from walnutpost.daemon.front_end import FrontEnd
 from walnutpost.http import Connection, Exchange, Response, encode_request
 from walnutpost.http.server import serve_on
 from walnutpost.loop import Loop
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -10,7 +10,7 @@
 
 from walnutpost.config import Config, WorkerLine, parse
 from walnutpost.config.model import address_of
-from walnutpost.daemon import FrontEnd
+from walnutpost.daemon.front_end import FrontEnd
 from walnutpost.http import Connection, Response
 from walnutpost.interface import ListKind
 from walnutpost.loop import Clock, Loop, VirtualClock
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -11,7 +11,7 @@
 
 from walnutpost import interface as api
 from walnutpost import rules
-from walnutpost.adapter import codec, host
+from walnutpost.adapter import codec, host, settings
 
 FACTS: dict[str, Any] = {
     "Profiles": [
@@ -203,12 +203,12 @@
 def test_nested_missing_setting_is_named_in_full() -> None:
     facts = json.loads(json.dumps(FACTS))
     del facts["Profiles"][1]["HardLimit"]
-    with pytest.raises(codec.SettingsError, match=r"Profiles\[1\]\.HardLimit is missing"):
-        codec.parse_settings(json.dumps(facts).encode())
+    with pytest.raises(settings.SettingsError, match=r"Profiles\[1\]\.HardLimit is missing"):
+        settings.parse_settings(json.dumps(facts).encode())
 
 
 def test_settings_are_read_and_unknown_ones_skipped() -> None:
-    told = codec.parse_settings(json.dumps(FACTS).encode())
+    told = settings.parse_settings(json.dumps(FACTS).encode())
     assert told.classes[1].effect is api.Effect.KEYED and told.classes[1].group is api.Group.ZONE
     assert told.keep_alive == 8_000_000 and told.may_load and not told.loads_on_miss
     assert told.report_fields == ("busy", "memory_tied", "novelty")
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -12,6 +12,7 @@
     "cli",
     "trials",
     "standins",
+    "node",
     "daemon",
     "fronts",
     "config",
--- a/walnutpost/adapter/host.py
+++ b/walnutpost/adapter/host.py
@@ -6,7 +6,7 @@
 import traceback
 from typing import BinaryIO
 
-from walnutpost.adapter import codec
+from walnutpost.adapter import codec, settings
 from walnutpost.rules import Router
 
 
@@ -36,13 +36,13 @@
         try:
             match event:
                 case codec.Started(seed, text):
-                    self._routers[instance] = Router(codec.parse_settings(text), seed)
+                    self._routers[instance] = Router(settings.parse_settings(text), seed)
                 case codec.Stopped():
                     del self._routers[instance]
                 case _:
                     for action in self._routers[instance].handle(header.clock, event):
                         replies.append(codec.encode_action(instance, action))
-        except codec.SettingsError as error:
+        except settings.SettingsError as error:
             self._fault(instance, str(error), replies)
         except Exception as error:
             traceback.print_exc(file=sys.stderr)
--- a/walnutpost/cli/run.py
+++ b/walnutpost/cli/run.py
@@ -9,7 +9,7 @@
 
 from walnutpost.config import Config, ConfigError, StandIn, WorkerLine, load
 from walnutpost.config.model import address_of
-from walnutpost.daemon import FrontEnd
+from walnutpost.daemon.front_end import FrontEnd
 from walnutpost.loop import Event, Loop
 from walnutpost.standins.fleet import local_store, start_worker
 from walnutpost.standins.store import PackageStore, RemoteStore, StoreServer
--- a/walnutpost/daemon/__init__.py
+++ b/walnutpost/daemon/__init__.py
@@ -1,5 +1,3 @@
-"""The thin shell: opens listeners, wires fronts, core, links and store together."""
+"""The thin shell: opens listeners, wires fronts, core, links and store together.
 
-from walnutpost.daemon.front_end import FrontEnd
-
-__all__ = ["FrontEnd"]
+Nothing is imported here: the node takes `daemon.core` alone, without what the rest would load."""
--- a/walnutpost/daemon/core.py
+++ b/walnutpost/daemon/core.py
@@ -25,12 +25,12 @@
     Note,
     Order,
     Ping,
+    PingDone,
     Refused,
     Served,
     Start,
 )
 from walnutpost.interface import Outcome
-from walnutpost.links import Links
 from walnutpost.loop import Loop, Task
 
 
@@ -48,10 +48,32 @@
     def lets_order(self, now: int, order: Order) -> bool: ...
 
 
+class Carrier(Protocol):
+    """Carries effects to workers, and tells how each ended: `links.Links`, or a node's `Workers`."""
+
+    def start(
+        self,
+        effect: Start,
+        done: Callable[[AttemptDone], None],
+        before: Callable[[], None] | None = None,
+        execution: str = "",
+    ) -> None: ...
+
+    def abandon(self, call: int, attempt: int) -> None: ...
+
+    def order(self, effect: Order, done: Callable[[HoldDone], None]) -> None: ...
+
+    def discard(self, effect: Discard) -> None: ...
+
+    def ping(self, effect: Ping, done: Callable[[PingDone], None]) -> None: ...
+
+    def close_idle(self, worker: str) -> None: ...
+
+
 class Core:
     """`before_send` is asked for what must be done before a Start leaves, by the ticket it came with."""
 
-    def __init__(self, loop: Loop, gateway: Gateway, links: Links, log: Any) -> None:
+    def __init__(self, loop: Loop, gateway: Gateway, links: Carrier, log: Any) -> None:
         self._loop = loop
         self._gateway = gateway
         self._links = links
--- a/walnutpost/gateway/core.py
+++ b/walnutpost/gateway/core.py
@@ -120,7 +120,7 @@
     # Calls
 
     def _arrive(self, e: CallArrived) -> None:
-        function = self._catalogue.function(e.function)
+        function = e.of or self._catalogue.function(e.function)
         tenant = self._catalogue.tenant_index(e.tenant)
         cls = self._settings.classes[function.class_index]
         key: Hashable = None
@@ -181,7 +181,8 @@
         call.tickets.remove(ticket)
         if call.tickets or call.stays:
             return
-        if call.cls.effect is not api.Effect.SAFE and self._may_have_run(call):
+        bound = call.key is not None and call.cls.effect is not api.Effect.SAFE
+        if bound and self._may_have_run(call):
             return  # its caller may ask again under the same id: then the one outcome must be known
         self._end(call, None)
         self._route(api.RequestGone(call.number))
--- a/walnutpost/gateway/messages.py
+++ b/walnutpost/gateway/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from walnutpost.gateway.catalogue import Function
 from walnutpost.interface import ListKind, Outcome, Warmth, WorkerState
 
 
@@ -53,7 +54,8 @@
 class CallArrived(Message, frozen=True):
     """A caller asks. `ticket` is the embedding program's own number for this asking, not used before;
     exactly one Answered comes for it, unless CallerLeft does. Where `repeat_key` isn't empty, another
-    asking with the same key, tenant, function and payload is the same call."""
+    asking with the same key, tenant, function and payload is the same call. `of` tells the function's
+    figures where each call brings its own; else the catalogue knows them."""
 
     ticket: int
     function: str
@@ -65,6 +67,7 @@
     durable: bool = False  # a Start of it must be on disk before it is carried out, if it is unsafe
     stays: bool = False  # goes on without a caller: deferred calls
     barred: Refused | None = None  # the answer, unless the call is in already under its repeat key
+    of: Function | None = None
 
 
 class CallerLeft(Message, frozen=True):
--- a/walnutpost/loop/scheduler.py
+++ b/walnutpost/loop/scheduler.py
@@ -142,6 +142,7 @@
         self._thread: threading.Thread | None = None
         self._job_count = 0
         self._finished: deque[Callable[[], object]] = deque()
+        self._soon: deque[Callable[[], object]] = deque()
         self._waker: tuple[socket.socket, socket.socket] | None = None
         self._signals: dict[int, Callable[[], object]] = {}
 
@@ -157,6 +158,11 @@
     def call_later(self, delay: int, callback: Callable[[], object]) -> Timer:
         return self._timers.add(self.clock.now() + delay, callback)
 
+    def call_soon(self, callback: Callable[[], object]) -> None:
+        """Runs `callback` at the end of this round, before the sockets are looked at again: what many
+        callbacks of a round have to write leaves in one go. It must not wait."""
+        self._soon.append(callback)
+
     def sleep(self, delay: int) -> None:
         task, token = self.waiting()
         timer = self.call_later(delay, lambda: self.wake(task, token))
@@ -274,6 +280,12 @@
         if callback is not None:
             self._tell(fd)
 
+    def on_writable(self, fd: int, callback: Callable[[], object] | None) -> None:
+        """Calls `callback` once when `fd` takes bytes, or is broken; None takes it back."""
+        self._watch(fd).writer = callback
+        if callback is not None:
+            self._tell(fd)
+
     def forget(self, fd: int) -> None:
         """To be called before `fd` is closed; who waits for it is woken and finds it closed."""
         known = self._descriptors.pop(fd, None)
@@ -304,10 +316,10 @@
         writer = known.writer if events & (WRITE | BROKEN) else None
         if reader is not None:
             known.reader = None
-            reader()
+            self._guarded("reader", reader)
         if writer is not None:
             known.writer = None
-            writer()
+            self._guarded("writer", writer)
         idle = 0
         if reader is None and events & (READ | BROKEN):
             idle |= READ
@@ -433,13 +445,10 @@
             events = self._poll.poll(self._wait_ms())
             for fd, what in events:
                 self._fired(fd, what)
-            if self.clock.virtual and not events and not ready:
+            if self.clock.virtual and not events and not ready and not self._soon:
                 self._jump()
             for callback in self._timers.due(self.clock.now()):
-                try:
-                    callback()
-                except Exception as error:
-                    self._on_error("timer", error)
+                self._guarded("timer", callback)
             for _ in range(len(ready) + EXTRA_TURNS):
                 if not ready:
                     break
@@ -453,9 +462,18 @@
                 else:
                     task._greenlet.throw(thrown)
                 self._current = None
+            for _ in range(len(self._soon)):
+                self._guarded("soon", self._soon.popleft())
+
+    def _guarded(self, what: str, callback: Callable[[], object]) -> None:
+        """One callback's error must not end the loop, and with it everything else."""
+        try:
+            callback()
+        except Exception as error:
+            self._on_error(what, error)
 
     def _wait_ms(self) -> int | None:
-        if self._ready:
+        if self._ready or self._soon:
             return 0
         due = self._timers.next()
         if self.clock.virtual:
--- a/walnutpost/loop/sockets.py
+++ b/walnutpost/loop/sockets.py
@@ -60,6 +60,18 @@
             self._tap.bytes(self._number, False, data)
         return data
 
+    def recv_now(self, most: int = CHUNK) -> bytes | None:
+        """What the kernel has, without waiting: none at the end, None where nothing is there."""
+        if self.closed:
+            raise ConnectionAbortedError(errno.ECONNABORTED, "closed here")
+        try:
+            data = self._sock.recv(most)
+        except BlockingIOError:
+            return None
+        if self._tap is not None and data:
+            self._tap.bytes(self._number, False, data)
+        return data
+
     def _from_kernel(self, most: int) -> bytes:
         """What the kernel has, as soon as it has something; none at the end."""
         while True:
@@ -133,6 +145,10 @@
         if not self.closed:
             self._loop.on_readable(self._fd, callback)
 
+    def on_writable(self, callback: Callable[[], object] | None) -> None:
+        if not self.closed:
+            self._loop.on_writable(self._fd, callback)
+
     def reset(self) -> None:
         """Closes so that the other end sees a reset, not an orderly end."""
         if not self.closed:
--- /dev/null
+++ b/walnutpost/node/clients.py
@@ -0,0 +1,261 @@
+"""The listener and client connections: what one connection may take, and what it gets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from walnutpost import interface as api
+from walnutpost.daemon.core import Core
+from walnutpost.gateway import CallArrived, Failed, Final, Function, Refused, Served
+from walnutpost.loop import Listener, Loop, Stream
+from walnutpost.node import rpc
+
+OPEN_MOST = 32  # requests on one connection
+OUT_MOST = 1 << 20  # bytes of answers that a client hasn't fetched
+SILENT_TIME = 2_000_000  # until a connection without a whole message is closed
+SWEEP = 250_000
+PATIENCE = 8  # requests of no use on one connection, after which it is read more slowly
+PAUSE = 200_000
+
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """What a worker gets unchanged of a client's request."""
+
+    rid: bytes
+    cls: str
+
+
+class Clients:
+    def __init__(
+        self,
+        loop: Loop,
+        core: Core,
+        settings: api.Settings,
+        classes: tuple[str, ...],
+        connections: int,
+        log: Any,
+    ) -> None:
+        self.loop = loop
+        self.core = core
+        self.log = log
+        self.classes = {name: i for i, name in enumerate(classes)}
+        self.waits = {name: cls.deadline for name, cls in zip(classes, settings.classes, strict=True)}
+        self.origins: dict[int, Origin] = {}
+        self.rids: set[str] = set()
+        self.connections: dict[Connection, None] = {}
+        self._most = connections
+        self.ending = False
+        self.bad = self.turned_away = self.unreadable = 0
+        loop.call_later(SWEEP, self._sweep)
+
+    def origin(self, ticket: int) -> tuple[bytes, str]:
+        known = self.origins[ticket]
+        return known.rid, known.cls
+
+    def accept(self, listener: Listener) -> None:
+        """A task: takes connections until the listener is closed."""
+        while True:
+            stream = listener.accept()
+            if len(self.connections) >= self._most:
+                self._make_room()
+            self.connections[Connection(self, stream)] = None
+
+    def _make_room(self) -> None:
+        """The oldest connection that never sent a whole message goes, else the one idle for longest."""
+        strangers = (c for c in self.connections if not c.known and not c.open)
+        idle = (c for c in self.connections if not c.open)
+        victim = next(strangers, None) or min(idle, key=lambda c: c.used, default=None)
+        self.turned_away += 1
+        (victim or next(iter(self.connections))).close()
+
+    def _sweep(self) -> None:
+        now = self.loop.now()
+        for connection in list(self.connections):
+            connection.look(now)
+        self.loop.call_later(SWEEP, self._sweep)
+
+    def end(self) -> None:
+        """From now on a connection is closed as soon as nothing is open on it."""
+        self.ending = True
+        for connection in list(self.connections):
+            connection.close_if_done()
+
+
+class Connection:
+    def __init__(self, clients: Clients, stream: Stream) -> None:
+        self._clients = clients
+        self._loop = clients.loop
+        self._stream = stream
+        self._reader = rpc.Reader(clients.waits)
+        self._out: list[bytes] = []
+        self._rest = b""
+        self._flushing = False
+        self._last = -1
+        self._useless = 0
+        self._began: int | None = None  # since when a message has been incomplete
+        self.open: dict[int, int] = {}  # message id -> ticket
+        self.known = False
+        self.used = self._loop.now()
+        self._opened = self.used
+        stream.on_readable(self._readable)
+
+    def look(self, now: int) -> None:
+        """Guards against clients that connect and say nothing, or stop within a message."""
+        since = self._opened if not self.known else self._began
+        if since is not None and now - since >= SILENT_TIME and not self.open:
+            self.close()
+
+    # In
+
+    def _readable(self) -> None:
+        if self._stream.closed:
+            return
+        try:
+            data = self._stream.recv_now(rpc.READ_MOST)
+        except OSError:
+            return self.close()
+        if data == b"":
+            return self.close()
+        if data:
+            useless = self._useless
+            messages, wrong = self._reader.feed(data)
+            for message in messages:
+                self._take(message)
+                if self._stream.closed:
+                    return None
+            if wrong is not None:
+                self._clients.unreadable += 1
+                return self._close_after_answers()
+            self._began = (self._began or self._loop.now()) if self._reader.partial else None
+            if self._useless > useless and self._useless > PATIENCE:
+                self._loop.call_later(PAUSE, self._listen)
+                return None
+        self._listen()
+        return None
+
+    def _listen(self) -> None:
+        if not self._stream.closed and len(self._rest) < OUT_MOST // 4:
+            self._stream.on_readable(self._readable)
+
+    def _take(self, message: rpc.Incoming) -> None:
+        self.used = self._loop.now()
+        match message:
+            case rpc.Call():
+                self._call(message)
+            case rpc.Interrupt(numbers):
+                self.known = True
+                for number in numbers:
+                    ticket = self.open.pop(number, None)
+                    if ticket is not None:
+                        self._forget(ticket)
+                        self._clients.core.leave(ticket)
+            case rpc.Check(number):
+                self.known = True
+                self.put(rpc.checked(number, not self._clients.ending))
+            case rpc.Bad(number, reason):
+                self._bad(number, reason)
+
+    def _bad(self, number: int, reason: str) -> None:
+        self._useless += 1
+        self._clients.bad += 1
+        if self._clients.bad <= 20:
+            self._clients.log.info("unusable request", why=reason)
+        self._last = max(self._last, number)
+        if number in self.open:  # an answer under this number would be taken for the other's
+            return self.close()
+        self.put(rpc.failed(number, reason))
+        return None
+
+    def _call(self, call: rpc.Call) -> None:
+        clients = self._clients
+        if call.number <= self._last:
+            clients.bad += 1
+            return self.close()
+        self._last = call.number
+        if call.rid in clients.rids:
+            return self._bad(call.number, "rid: this request is open already")
+        if len(self.open) >= OPEN_MOST:
+            self._useless += 1
+            self.put(rpc.refused(call.number))
+            return None
+        self.known = True
+        ticket = clients.core.ticket()
+        self.open[call.number] = ticket
+        clients.origins[ticket] = Origin(call.rid.encode(), call.cls)
+        clients.rids.add(call.rid)
+        function = Function(
+            call.function, clients.classes[call.cls], call.memory_mb, call.lanes, call.load_time
+        )
+        arrived = CallArrived(
+            ticket, call.function, call.body, call.budget, None, "", call.again, of=function
+        )
+        clients.core.arrive(arrived, partial(self._answered, call.number, ticket))
+        return None
+
+    def _forget(self, ticket: int) -> None:
+        known = self._clients.origins.pop(ticket, None)
+        if known is not None:
+            self._clients.rids.discard(known.rid.decode())
+
+    # Out
+
+    def _answered(self, number: int, ticket: int, final: Final) -> None:
+        self._forget(ticket)
+        if self.open.pop(number, None) is None:
+            return
+        match final:
+            case Served(payload):
+                self.put(rpc.served(number, payload))
+            case Refused(_, retry_after):
+                self.put(rpc.refused(number, retry_after))
+            case Failed():
+                self.put(rpc.failed(number))
+
+    def put(self, data: bytes) -> None:
+        self._out.append(data)
+        if not self._flushing and not self._rest:
+            self._flushing = True
+            self._loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._flushing = False
+        if self._stream.closed:
+            return
+        held, self._rest = self._rest, self._rest + b"".join(self._out)
+        self._out.clear()
+        try:
+            if self._rest:
+                self._rest = self._stream.send_now(self._rest)
+        except OSError:
+            return self.close()
+        if len(self._rest) > OUT_MOST:
+            return self.close()
+        if self._rest:
+            self._stream.on_writable(self._flush)
+        else:
+            if held:
+                self._listen()
+            self.close_if_done()
+        return None
+
+    def close_if_done(self) -> None:
+        if self._clients.ending and not (self.open or self._out or self._rest):
+            self.close()
+
+    def _close_after_answers(self) -> None:
+        """What was answered before the line became unreadable still leaves."""
+        self._flush()
+        self.close()
+
+    def close(self) -> None:
+        if self._stream.closed:
+            return
+        self._stream.close()
+        self._clients.connections.pop(self, None)
+        tickets, self.open = list(self.open.values()), {}
+        for ticket in tickets:
+            self._forget(ticket)
+            self._clients.core.leave(ticket)
--- /dev/null
+++ b/walnutpost/node/feed.py
@@ -0,0 +1,93 @@
+"""The name server over UDP: asks, asks again, and follows it to another address."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+from random import Random
+from typing import Any
+
+from walnutpost.gateway import WorkersTold
+from walnutpost.loop import Loop
+from walnutpost.node.directory import Address, BadList, Directory
+
+PERIOD = 100_000  # between questions: a fraction of the time after which a change counts as told
+ANSWER_MOST = 9000
+READS_MOST = 16
+
+
+class Feed:
+    """`told` is called with each new list."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        directory: Directory,
+        address: Address,
+        seed: int,
+        told: Callable[[WorkersTold], None],
+        log: Any,
+    ) -> None:
+        self._loop = loop
+        self._directory = directory
+        self._told = told
+        self._log = log
+        self._random = Random(seed)
+        self._sock: socket.socket | None = None
+        self.asked = self.useless = 0
+        self.move(address)
+        self._ask()
+
+    def move(self, address: Address) -> None:
+        """Asks there from now on."""
+        self.close()
+        self._directory.forget_questions()
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.connect(address)
+        self._sock = sock
+        self._loop.on_readable(sock.fileno(), self._readable)
+        self._send()
+
+    def close(self) -> None:
+        if self._sock is not None:
+            self._loop.forget(self._sock.fileno())
+            self._sock.close()
+            self._sock = None
+
+    def _ask(self) -> None:
+        self._send()
+        self._loop.call_later(PERIOD, self._ask)
+
+    def _send(self) -> None:
+        if self._sock is not None:
+            self.asked += 1
+            with suppress(OSError):  # asked again soon
+                self._sock.send(self._directory.query(self._random.getrandbits(16)))
+
+    def _readable(self) -> None:
+        sock = self._sock
+        if sock is None:
+            return
+        for _ in range(READS_MOST):
+            try:
+                data = sock.recv(ANSWER_MOST)
+            except BlockingIOError:
+                break
+            except OSError:
+                continue  # nobody there, as an earlier question learnt
+            self._take(data)
+        if self._sock is sock:
+            self._loop.on_readable(sock.fileno(), self._readable)
+
+    def _take(self, data: bytes) -> None:
+        try:
+            told = self._directory.answer(data)
+        except BadList as error:
+            self.useless += 1
+            if self.useless <= 20:
+                self._log.info("name server", why=str(error))
+            return
+        if told is not None:
+            self._told(told)
