No connection is closed on a request that has come; requests taken back give no ration

`Clients._make_room` closed connections on which a request was still unread, and (told by a trace of closes) one whose answer stood in `_out` for the end of the round; a full house of idle connections made the newest stranger the first to go. Now a connection is idle only when nothing waits to leave, the kernel is asked before a close, and new ones are spared for 0.3 s. The idle order was ruled out as the cause: with it alone the same request was lost.

--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -301,3 +301,15 @@
     rig.feed(api.HoldEnded(1, 7, api.Outcome.OK, 1000, 1))
     rig.listed(api.ListKind.DELTA, worker(1, api.WorkerState.DRAINING, rig.now))
     assert not [a for a in rig.actions if isinstance(a, api.Send | api.Hold) and a.worker == 1]
+
+
+def test_requests_that_are_taken_back_give_no_ration() -> None:
+    """Clients may ask and take back by the hundreds, and the rule need not count those."""
+    rig = Rig(workers=8, settings=RATIONED)
+    for function in range(100, 200):
+        rig.feed(api.RequestGone(rig.ask(function=function)))
+    given = len(orders(rig.all))
+    for function in range(200, 220):
+        rig.ask(function=function)
+    allowed = RATIONED.guards.free_loads + RATIONED.guards.load_share * 20
+    assert given <= RATIONED.guards.free_loads + 1 and len(orders(rig.all)) <= allowed
--- a/walnutpost/loop/sockets.py
+++ b/walnutpost/loop/sockets.py
@@ -141,6 +141,13 @@
         except OSError:
             return True
 
+    def waiting(self) -> bool:
+        """Whether bytes wait to be read."""
+        try:
+            return not self.closed and self._sock.recv(1, socket.MSG_PEEK) != b""
+        except OSError:
+            return False
+
     def on_readable(self, callback: Callable[[], object] | None) -> None:
         if not self.closed:
             self._loop.on_readable(self._fd, callback)
--- a/walnutpost/node/clients.py
+++ b/walnutpost/node/clients.py
@@ -15,6 +15,7 @@
 OPEN_MOST = 32  # requests on one connection
 OUT_MOST = 1 << 20  # bytes of answers that a client hasn't fetched
 SILENT_TIME = 2_000_000  # until a connection without a whole message is closed
+STRANGER_TIME = 300_000  # in which a new connection may be about to send
 SWEEP = 250_000
 PATIENCE = 8  # requests of no use on one connection, after which it is read more slowly
 PAUSE = 200_000
@@ -64,12 +65,15 @@
             self.connections[Connection(self, stream)] = None
 
     def _make_room(self) -> None:
-        """The oldest connection that never sent a whole message goes, else the one idle for longest."""
-        strangers = (c for c in self.connections if not c.known and not c.open)
-        idle = (c for c in self.connections if not c.open)
-        victim = next(strangers, None) or min(idle, key=lambda c: c.used, default=None)
-        self.turned_away += 1
-        (victim or next(iter(self.connections))).close()
+        """The oldest connection that never sent a whole message goes, else the one idle for longest, else one
+        that has hardly come. Where all have something open, there is one connection more."""
+        now = self.loop.now()
+
+        def worth(c: Connection) -> tuple[int, int]:
+            return (1 if c.known else 2 if now - c.used < STRANGER_TIME else 0), c.used
+
+        idle = sorted((c for c in self.connections if c.idle), key=worth)
+        self.turned_away += any(c.lapse() for c in idle)
 
     def _sweep(self) -> None:
         now = self.loop.now()
@@ -102,11 +106,16 @@
         self._opened = self.used
         stream.on_readable(self._readable)
 
+    @property
+    def idle(self) -> bool:
+        """Nothing is owed here, nor still to leave."""
+        return not (self.open or self._out or self._rest)
+
     def look(self, now: int) -> None:
         """Guards against clients that connect and say nothing, or stop within a message."""
         since = self._opened if not self.known else self._began
-        if since is not None and now - since >= SILENT_TIME and not self.open:
-            self.close()
+        if since is not None and now - since >= SILENT_TIME and self.idle:
+            self.lapse()
 
     # In
 
@@ -122,7 +131,12 @@
         if data:
             useless = self._useless
             messages, wrong = self._reader.feed(data)
+            back = {n for message in messages if isinstance(message, rpc.Interrupt) for n in message.numbers}
             for message in messages:
+                if isinstance(message, rpc.Call) and message.number in back and message.number > self._last:
+                    self._last = message.number  # taken back before it was read: nobody asked
+                    self._useless += 1
+                    continue
                 self._take(message)
                 if self._stream.closed:
                     return None
@@ -242,8 +256,17 @@
         return None
 
     def close_if_done(self) -> None:
-        if self._clients.ending and not (self.open or self._out or self._rest):
-            self.close()
+        if self._clients.ending and self.idle:
+            self.lapse()
+
+    def lapse(self) -> bool:
+        """Closes it unless something has come that is still to be read: a request that the kernel has taken
+        is taken, and closing on it would lose it."""
+        if self._stream.waiting():
+            self._readable()
+            return False
+        self.close()
+        return True
 
     def _close_after_answers(self) -> None:
         """What was answered before the line became unreadable still leaves."""
--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -173,6 +173,8 @@
             case api.WorkersListed():
                 self._listed(event)
             case api.RequestGone(request) if request in self._requests:
+                if self._taken:
+                    self._taken.pop()  # clients may ask and take back by the hundreds: no ground for orders
                 self._close(self._requests[request])
             case api.AnswerStarted(request) if request in self._requests:
                 self._requests[request].done = True
