--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -36,7 +36,8 @@
 SLOW_FROM = 1.5  # times the fleet's usual that leave no room; less weighs as far as others send calls unseen
 SIGN_SPAN, SIGN_PRIOR = 0.5, 1.0  # keep-alives that a sign is news for; signs' worth of trust in the usual
 BUSY_MOST, FULL_SIGN = 20.0, 4.0  # strain of wholly busy cores, before the mean; that of a full answer
-FAIL_GAIN, FAIL_FROM = 0.2, 0.25  # weight of one answer; share of errors beyond the fleet's that is too high
+FAIL_GAIN, FAIL_FROM = 0.2, 0.25  # weight of an error, twice an answer's; share of errors beyond the fleet's
+FAULTY_FROM = 0.15  # share of errors that makes a worker worn, and second to others for unsafe calls
 CROWD_FROM, CROWD_LEAST = 1.3, 1  # times the mean requests out, and so many more, make a worker crowded
 SHED_FROM, SHED_FULL = 0.3, 0.7  # of the aim: time to answer at which refusals begin, and reach their most
 SHED_CROWDED = 0.5  # weight of the worth of a request with no free lane, which would cost a load besides
@@ -249,10 +250,12 @@
         return [w for w in map(self._workers.__getitem__, fn.copies) if w.ready and w.silent_since is None]
 
     def _choose(self, req: _Request) -> _Worker | None:
-        def busy(w: _Worker) -> tuple[bool, float, float]:
-            return self._over(req.fn, w), (w.out + 1) * self._slowness(w) / w.weight, self._rng.random()
-
         unsafe = req.cls.effect is Effect.UNSAFE
+
+        def busy(w: _Worker) -> tuple[bool, bool, float, float]:
+            load = (w.out + 1) * self._slowness(w) / w.weight
+            return unsafe and self._suspect(w), self._over(req.fn, w), load, self._rng.random()
+
         warm = (w for w in self._warm(req.fn) if self._may_send(req, w) and not (unsafe and self._fails(w)))
         return min(warm, key=busy, default=None)
 
@@ -578,7 +581,8 @@
         if error and sum(a.outcome is Outcome.ERROR for a in req.attempts) > 1:
             return  # it fails everywhere: the request's fault
         self._faults += FAIL_GAIN / 4 * (error - self._faults)  # soon: clients may send what fails everywhere
-        w.faults, w.fault_at = self._faulty(w) + FAIL_GAIN * (error - self._faulty(w)), self._now
+        gain = FAIL_GAIN if error else FAIL_GAIN / 2
+        w.faults, w.fault_at = self._faulty(w) + gain * (error - self._faulty(w)), self._now
 
     def _faulty(self, w: _Worker) -> float:
         return w.faults * math.exp((w.fault_at - self._now) / (SIGN_SPAN * self._keep))
@@ -589,6 +593,9 @@
         a copy elsewhere. Fades, so that it is tried again. Harm: a good worker rests after chance errors."""
         return self._faulty(w) > FAIL_FROM + self._faults
 
+    def _suspect(self, w: _Worker) -> bool:
+        return self._faulty(w) > FAULTY_FROM + self._faults / 2
+
     def _slowness(self, w: _Worker) -> float:
         """How slow or busy against the fleet's usual, by times against the cost hint, told business and full
         answers; old signs fade, few weigh little. Guards against slow, shared and hot machines; few costly
@@ -601,7 +608,7 @@
         """Slow, or far more of this front end's requests out there than elsewhere: lanes say how many a copy
         takes, not how many copies its worker's cores bear. Guards against hot workers. Harm: more copies."""
         usual = self._all_out * w.weight / self._all_weight
-        return w.out > CROWD_FROM * usual + CROWD_LEAST or self._slowness(w) > SLOW_FROM or self._fails(w)
+        return w.out > CROWD_FROM * usual + CROWD_LEAST or self._slowness(w) > SLOW_FROM or self._suspect(w)
 
     # Shortage
 
