One end for whatever a worker owes; dead code, repeated code and untrue words of the node mended

Ends were written in five places of node/workers.py: `_Sent.finish` is the one now, so nothing ends twice; what moved to another connection had lost its own time limit (`break_off` cancelled it), and keeps it. The told number of streams was read and never held to: a connection takes no more. Opening a socket is one function of loop/sockets.py, which had it; `Stream.waiting` was `stale` without `ended`.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import msgpack
@@ -134,6 +135,33 @@
     play(script, workers=1)
 
 
+def test_a_connection_takes_no_more_than_its_streams() -> None:
+    def script(world: World) -> None:
+        client, other = world.client(), world.client()
+        worker = warm(world, client)
+        world.node.workers.limits = replace(world.node.workers.limits, connections=1, streams=4)
+        worker.answer = lambda words: None
+        for asking in (client, other):
+            for _ in range(5):
+                asking.send()
+        world.until(lambda: len(worker.calls()) == 11)
+        assert len(worker.streams) == 3
+
+    play(script, workers=1)
+
+
+def test_a_moved_question_keeps_its_time_limit() -> None:
+    def script(world: World) -> None:
+        worker = warm(world, world.client())
+        told, answers = list[HoldDone](), [b""]
+        worker.answer = lambda words: answers.pop() if answers else None
+        world.node.workers.order(Order(worker.name, "7f3a9c21e0b4d655", 0), told.append)
+        world.until(lambda: told, step=SECOND // 2)
+        assert [t.outcome for t in told] == [Outcome.TIMEOUT]
+
+    play(script, workers=1)
+
+
 def test_an_interrupt_takes_the_call_back_at_its_worker() -> None:
     def script(world: World) -> None:
         client = world.client()
--- a/walnutpost/loop/sockets.py
+++ b/walnutpost/loop/sockets.py
@@ -141,13 +141,6 @@
         except OSError:
             return True
 
-    def waiting(self) -> bool:
-        """Whether bytes wait to be read."""
-        try:
-            return not self.closed and self._sock.recv(1, socket.MSG_PEEK) != b""
-        except OSError:
-            return False
-
     def on_readable(self, callback: Callable[[], object] | None) -> None:
         if not self.closed:
             self._loop.on_readable(self._fd, callback)
@@ -181,13 +174,22 @@
         raise
 
 
-def connected(loop: Loop, address: Address) -> socket.socket:
-    """A connected socket that never waits by itself."""
+def opening(address: Address) -> tuple[socket.socket, int]:
+    """A socket that never waits, on its way to `address`, and the error number of the first step."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        code = sock.connect_ex(address)
+        return sock, sock.connect_ex(address)
+    except BaseException:
+        sock.close()
+        raise
+
+
+def connected(loop: Loop, address: Address) -> socket.socket:
+    """A connected socket that never waits by itself."""
+    sock, code = opening(address)
+    try:
         if code == errno.EINPROGRESS:
             loop.wait_writable(sock.fileno())
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/walnutpost/node/clients.py
+++ b/walnutpost/node/clients.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -21,14 +20,6 @@
 PAUSE = 200_000
 
 
-@dataclass(frozen=True, slots=True)
-class Origin:
-    """What a worker gets unchanged of a client's request."""
-
-    rid: bytes
-    cls: str
-
-
 class Clients:
     def __init__(
         self,
@@ -44,8 +35,8 @@
         self.log = log
         self.classes = {name: i for i, name in enumerate(classes)}
         self.waits = {name: cls.deadline for name, cls in zip(classes, settings.classes, strict=True)}
-        self.origins: dict[int, Origin] = {}
-        self.rids: set[str] = set()
+        self.origins: dict[int, tuple[bytes, str]] = {}  # by ticket: id and class, as a worker gets them
+        self.rids: set[bytes] = set()  # those of origins
         self.connections: dict[Connection, None] = {}
         self._most = connections
         self.ending = False
@@ -53,8 +44,7 @@
         loop.call_later(SWEEP, self._sweep)
 
     def origin(self, ticket: int) -> tuple[bytes, str]:
-        known = self.origins[ticket]
-        return known.rid, known.cls
+        return self.origins[ticket]
 
     def accept(self, listener: Listener) -> None:
         """A task: takes connections until the listener is closed."""
@@ -189,7 +179,8 @@
             clients.bad += 1
             return self.close()
         self._last = call.number
-        if call.rid in clients.rids:
+        rid = call.rid.encode()
+        if rid in clients.rids:
             return self._bad(call.number, "rid: this request is open already")
         if len(self.open) >= OPEN_MOST:
             self._useless += 1
@@ -198,8 +189,8 @@
         self.known = True
         ticket = clients.core.ticket()
         self.open[call.number] = ticket
-        clients.origins[ticket] = Origin(call.rid.encode(), call.cls)
-        clients.rids.add(call.rid)
+        clients.origins[ticket] = rid, call.cls
+        clients.rids.add(rid)
         function = Function(
             call.function, clients.classes[call.cls], call.memory_mb, call.lanes, call.load_time
         )
@@ -212,7 +203,7 @@
     def _forget(self, ticket: int) -> None:
         known = self._clients.origins.pop(ticket, None)
         if known is not None:
-            self._clients.rids.discard(known.rid.decode())
+            self._clients.rids.discard(known[0])
 
     # Out
 
@@ -262,7 +253,7 @@
     def lapse(self) -> bool:
         """Closes it unless something has come that is still to be read: a request that the kernel has taken
         is taken, and closing on it would lose it."""
-        if self._stream.waiting():
+        if self._stream.stale() and not self._stream.ended():
             self._readable()
             return False
         self.close()
--- a/walnutpost/node/config.py
+++ b/walnutpost/node/config.py
@@ -8,9 +8,8 @@
 
 from walnutpost import interface as api
 from walnutpost.adapter.settings import SettingsError, Told, parse_settings
-from walnutpost.node.directory import Names
+from walnutpost.node.directory import Address, Names
 
-Address = tuple[str, int]
 PORT_MOST = 65535
 
 
@@ -22,10 +21,8 @@
 class Config:
     """Times in microseconds. `known` is the name server's events up to the start, as they came."""
 
-    name: str
     listen: Address
     seed: int
-    memory_mb: float
     sockets: int
     dns: Address
     known: dict[str, Any]
@@ -62,10 +59,8 @@
         limits, profiles = root.part("PolicyLimits"), root.parts("Profiles")
         allowed = Told(told.get("limits") or {}, "limits.")
         return Config(
-            name=str(told.get("name", "")),
             listen=address(told["listen"], "listen"),
             seed=int(str(told.get("seed", "0")), 16),
-            memory_mb=allowed.number("memory_mb"),
             sockets=allowed.needed_whole("sockets"),
             dns=address(told["dns"], "dns"),
             known=told["known"],
--- a/walnutpost/node/rpc.py
+++ b/walnutpost/node/rpc.py
@@ -3,7 +3,6 @@
 
 from __future__ import annotations
 
-import math
 import re
 from collections.abc import Mapping
 from typing import Any
@@ -185,5 +184,4 @@
         return absent
     if text is None or not FIGURE.fullmatch(text) or not least <= (value := float(text)) <= most:
         raise ValueError(f"{name}: found {text!r:.40}, wanted a number from {least:g} to {most:g}")
-    assert math.isfinite(value)
     return value
--- a/walnutpost/node/run.py
+++ b/walnutpost/node/run.py
@@ -40,7 +40,6 @@
     def __init__(self, loop: Loop, config: Config, log: Any) -> None:
         self._loop = loop
         self._log = log
-        self._config = config
         gateway = Gateway(config.settings, Catalogue({}), config.seed)
         limits = WorkerLimits(
             config.dial_timeout,
--- a/walnutpost/node/workers.py
+++ b/walnutpost/node/workers.py
@@ -11,10 +11,11 @@
 from walnutpost.gateway import AttemptDone, Discard, HoldDone, Order, Ping, PingDone, Start
 from walnutpost.interface import Outcome
 from walnutpost.loop import Loop, Stream
+from walnutpost.loop.sockets import opening
 from walnutpost.loop.timers import Timer
 from walnutpost.node import resp
+from walnutpost.node.directory import Address
 
-Address = tuple[str, int]
 SWEEP = 1_000_000
 PROBE_TIMEOUT = 1_000_000
 IDLE_SHARE = 0.7  # of the time after which the worker closes an idle connection: never to write into that
@@ -35,9 +36,21 @@
 
 
 class _Sent:
-    """Something that is owed an end: an attempt, an order or a probe."""
-
-    __slots__ = ("began", "command", "end", "harmless", "id", "key", "link", "moves", "timer", "written")
+    """Something that is owed an end: an attempt, an order or a probe. It gets one, whatever happens after."""
+
+    __slots__ = (
+        "_end",
+        "began",
+        "command",
+        "ended",
+        "harmless",
+        "id",
+        "key",
+        "link",
+        "moves",
+        "timer",
+        "written",
+    )
 
     def __init__(
         self, id: bytes, command: bytes, began: int, end: Callable[[_Sent, Outcome, resp.Answer | None], None]
@@ -45,7 +58,8 @@
         self.id = id
         self.command = command
         self.began = began
-        self.end = end
+        self._end = end
+        self.ended = False
         self.key: tuple[int, int] | None = None  # call and attempt
         self.link: _Link | None = None
         self.timer: Timer | None = None
@@ -53,6 +67,13 @@
         self.moves = 0
         self.harmless = False  # asks only, so that twice is as good as once
 
+    def finish(self, outcome: Outcome, answer: resp.Answer | None = None) -> None:
+        if not self.ended:
+            self.ended = True
+            if self.timer is not None:
+                self.timer.cancel()
+            self._end(self, outcome, answer)
+
 
 class _Link:
     """One connection; what is to be written is kept until the end of the round."""
@@ -73,11 +94,8 @@
         self._out: list[tuple[bytes, _Sent | None]] = []
         self._rest = b""
         self._flushing = False
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setblocking(False)
-        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock, code = opening(address)
         self.stream = Stream(self._loop, self._sock)
-        code = self._sock.connect_ex(address)
         self._dial = self._loop.call_later(workers.limits.dial_timeout, self.break_off)
         if code not in (0, errno.EINPROGRESS):
             self._loop.call_soon(self.break_off)
@@ -139,7 +157,7 @@
                 # An id that isn't open is one given up, a second copy, or somebody's mistake: not ours.
                 if sent is not None:
                     self.release(sent)
-                    sent.end(sent, answer.outcome, answer)
+                    sent.finish(answer.outcome, answer)
             if spoilt is not None:
                 return self._workers.spoilt(self, spoilt)
         if not self.closed:
@@ -149,8 +167,6 @@
         """It is owed nothing by this connection any more."""
         if self.open.pop(sent.id, None) is None:
             return
-        if sent.timer is not None:
-            sent.timer.cancel()
         self.past[sent.id] = None
         if len(self.past) > PAST_MOST:
             del self.past[next(iter(self.past))]
@@ -165,20 +181,22 @@
         only a worker that takes none is told to have failed."""
         if self.closed:
             return
-        waiting = list(self.open.values())
-        self.open.clear()
-        self.close()
-        for sent in waiting:
-            if sent.timer is not None:
-                sent.timer.cancel()
+        for sent in self.emptied():
             if self.reached and sent.moves < MOVES_MOST and (sent.harmless or not sent.written):
                 sent.moves += 1
                 sent.written = False
                 self._workers.place(self.worker, sent, fresh=True)
             elif sent.written:
-                sent.end(sent, Outcome.RESET, None)
+                sent.finish(Outcome.RESET)
             else:
-                sent.end(sent, Outcome.CONNECT_FAILED, None)
+                sent.finish(Outcome.CONNECT_FAILED)
+
+    def emptied(self) -> list[_Sent]:
+        """Closes it; what was open on it."""
+        waiting = list(self.open.values())
+        self.open.clear()
+        self.close()
+        return waiting
 
     def close(self) -> None:
         if not self.closed:
@@ -208,10 +226,6 @@
     def connections(self) -> int:
         return self._count
 
-    @property
-    def out(self) -> int:
-        return len(self._attempts)
-
     def told(self, addresses: Mapping[str, Address]) -> None:
         """What the list says now. What is out at a worker that has gone is left to end by itself."""
         for name, address in list(self._addresses.items()):
@@ -267,7 +281,7 @@
         if sent is None:
             return
         self._give_up(sent)
-        self.loop.call_soon(lambda: sent.end(sent, Outcome.CANCELLED, None))
+        self.loop.call_soon(lambda: sent.finish(Outcome.CANCELLED))
 
     def order(self, effect: Order, done: Callable[[HoldDone], None]) -> None:
         def end(sent: _Sent, outcome: Outcome, answer: resp.Answer | None) -> None:
@@ -308,18 +322,12 @@
         link = self._pick(worker, sent.id if again else None, fresh)
         if link is None:
             sent.link = None
-            self.loop.call_soon(lambda: self._unplaced(sent))
+            self.loop.call_soon(lambda: sent.finish(Outcome.CONNECT_FAILED))
             return
         sent.link = link
         link.open[sent.id] = sent
         link.put(sent.command, sent)
 
-    def _unplaced(self, sent: _Sent) -> None:
-        if sent.timer is not None:
-            sent.timer.cancel()
-        if sent.key is None or sent.key in self._attempts:
-            sent.end(sent, Outcome.CONNECT_FAILED, None)
-
     def _pick(self, worker: str, unless: bytes | None = None, fresh: bool = False) -> _Link | None:
         """An idle connection, else a new one while there is room, else the one with the least on it: what
         breaks one off then takes little else with it. Where `unless` was open before, an answer to that
@@ -327,7 +335,9 @@
         links = [
             link
             for link in self._links.get(worker, ())
-            if not link.retired and (unless is None or (unless not in link.past and unless not in link.open))
+            if not link.retired
+            and len(link.open) < self.limits.streams
+            and (unless is None or (unless not in link.past and unless not in link.open))
         ]
         least = min(links, key=lambda link: len(link.open), default=None)
         if least is not None and not least.open and not fresh:
@@ -360,26 +370,19 @@
         """The worker is there, and has answered something to somebody: no sign that it died. Whatever is
         open on this connection may have run, and will not be heard of."""
         self.spoilt_answers += 1
-        waiting = list(link.open.values())
-        link.open.clear()
-        link.close()
-        for sent in waiting:
-            if sent.timer is not None:
-                sent.timer.cancel()
-            sent.end(sent, Outcome.ERROR, None)
+        for sent in link.emptied():
+            sent.finish(Outcome.ERROR)
 
     def _within(self, sent: _Sent, time: int) -> None:
         sent.timer = self.loop.call_later(time, lambda: self._overdue(sent))
 
     def _overdue(self, sent: _Sent) -> None:
         self._give_up(sent)
-        sent.end(sent, Outcome.TIMEOUT, None)
+        sent.finish(Outcome.TIMEOUT)
 
     def _give_up(self, sent: _Sent) -> None:
         """Takes it from its connection. One that has said nothing since it was sent may be dead, and gets
         nothing new."""
-        if sent.timer is not None:
-            sent.timer.cancel()
         link, sent.link = sent.link, None
         if link is None or sent.id not in link.open:
             return
