Gone workers and functions are forgotten; a DNS answer to another question changes nothing

Ruled out: links, timers, clients' ids and DNS questions, which are bounded already. At fault: Numbers in gateway/catalogue.py, which kept each name; Router._workers, which kept each worker and weighed it in the mean of requests out. A DNS answer's question section was not looked at (node/directory.py, answer).

--- a/tests/test_node_protocols.py
+++ b/tests/test_node_protocols.py
@@ -184,9 +184,14 @@
 
 
 def reply(
-    number: int, serial: int, flags: int = dns.flags.QR, priority: int = 1, host: str = "s-1.east.hosts."
+    number: int,
+    serial: int,
+    flags: int = dns.flags.QR,
+    priority: int = 1,
+    host: str = "s-1.east.hosts.",
+    asked: str = SERVICE,
 ) -> bytes:
-    message = dns.message.Message(number)
+    message = dns.message.make_query(asked, "SRV", id=number)
     message.flags = flags
     for section, name, kind, text in (
         (message.answer, SERVICE, "SRV", f"{priority} 40 10080 {host}"),
@@ -220,6 +225,7 @@
         reply(9, 3, dns.flags.QR | 2),  # SERVFAIL
         reply(9, 3)[:40],
         reply(9, 3, host="s-7.east.hosts."),  # no address told
+        reply(9, 3, asked="_other._tcp.svc.local."),
         b"",
     ],
 )
--- a/walnutpost/gateway/catalogue.py
+++ b/walnutpost/gateway/catalogue.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
 
 FUNCTION_BITS, WORKER_BITS = 40, 32
+SPARE_NAMES = 256  # beyond twice the wanted ones, so that a look is paid for by many new names
 
 
 class UnknownName(LookupError):
@@ -69,6 +70,25 @@
         self._names: dict[int, str] = {}
         for name in sorted(names):
             self.number(name)
+        self._lasting = frozenset(self._names)
+        self._next_look = self._room()
+
+    def __len__(self) -> int:
+        return len(self._names)
+
+    def _room(self) -> int:
+        return 2 * len(self._names) + SPARE_NAMES
+
+    @property
+    def crowded(self) -> bool:
+        """Twice as many as were wanted at the last `keep`: time to look which are still wanted."""
+        return len(self._names) > self._next_look
+
+    def keep(self, wanted: Collection[int]) -> None:
+        """Forgets all others but those of the start. A name that comes again gets its number again."""
+        for number in [n for n in self._names if n not in wanted and n not in self._lasting]:
+            del self._numbers[self._names.pop(number)]
+        self._next_look = self._room()
 
     def number(self, name: str) -> int:
         known = self._numbers.get(name)
--- a/walnutpost/gateway/core.py
+++ b/walnutpost/gateway/core.py
@@ -114,6 +114,8 @@
                     for w in workers
                 )
                 self._route(api.WorkersListed(kind, version, listed))
+        if self._functions.crowded or self._workers.crowded:
+            self._forget_names()
         effects, self._effects = self._effects, []
         return effects
 
@@ -243,6 +245,13 @@
         if call.done and None not in call.outcomes:
             self._calls.pop(call.number, None)
 
+    def _forget_names(self) -> None:
+        """Guards against memory that grows with each function and worker ever seen. An open call has its
+        names by itself."""
+        functions, workers = self._router.named()
+        self._functions.keep(functions)
+        self._workers.keep(workers)
+
     # The Router
 
     def _route(self, event: api.Event) -> None:
--- a/walnutpost/node/directory.py
+++ b/walnutpost/node/directory.py
@@ -14,12 +14,14 @@
 import dns.message
 import dns.name
 import dns.rcode
+import dns.rdataclass
 import dns.rdatatype
 
 from walnutpost.gateway import WorkersTold, WorkerTold
 from walnutpost.interface import ListKind, WorkerState
 
 SERVICE = "_api._tcp.svc.local."
+QUESTION = dns.name.from_text(SERVICE), dns.rdatatype.SRV, dns.rdataclass.IN
 ASKED_MOST = 8  # queries whose answers still count; an older one's is of no use any more
 STATES = {"Ready": WorkerState.READY, "Terminating": WorkerState.DRAINING, "Gone": WorkerState.GONE}
 WEIGHT_SCALE = 10  # the registry's weights are whole numbers, ten times the size
@@ -136,6 +138,8 @@
             raise BadList("cut short, or no answer at all")
         if message.rcode() != dns.rcode.NOERROR:
             raise BadList(f"the name server reports {dns.rcode.to_text(message.rcode())}")
+        if [(q.name, q.rdtype, q.rdclass) for q in message.question] != [QUESTION]:
+            raise BadList("an answer to another question")
         serial, lines = self._read(message)
         if serial < self.serial:
             raise BadList(f"list {serial} is older than the {self.serial} held")
--- a/walnutpost/rules.py
+++ b/walnutpost/rules.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import islice
@@ -81,6 +81,7 @@
     info: api.Worker
     started: int  # start time told, or the return from a long silence; 0 is long ago
     ready: bool = True
+    gone: bool = False
     weight: float = 1.0
     out: int = 0
     heard: int = 0
@@ -192,6 +193,10 @@
             self._actions.append(api.SetTimer(self._armed - now, 1))
         return self._actions
 
+    def named(self) -> tuple[Collection[int], Collection[int]]:
+        """Functions and workers that actions to come may name; all others may be forgotten outside, too."""
+        return self._functions.keys(), self._workers.keys()
+
     def _later(self, when: float, what: str, ref: int) -> None:
         """One timer for each purpose and its object; the earliest holds."""
         due = int(max(when, self._now + max(1, self._s.tick)))
@@ -201,7 +206,7 @@
 
     def _due(self, what: str, ref: int) -> None:
         fn, req = self._functions.get(ref), self._requests.get(ref)
-        if what == "watch":
+        if what == "watch" and ref in self._workers:
             self._watch(self._workers[ref])
         elif what == "list":
             self._actions.append(api.FollowList(True))
@@ -671,7 +676,7 @@
             self._later(self._now + self._asked_list * self._s.guards.ask_within / 8, "list", 0)
             self._asked_list = True
         named = {info.id: info for info in e.workers}
-        weights = [w.weight for w in self._workers.values()]
+        weights = {wid: w.weight for wid, w in self._workers.items()}
         for wid, w in self._workers.items():
             if wid not in named and e.kind in (ListKind.CACHED, ListKind.FULL):
                 self._leave(w)
@@ -679,12 +684,15 @@
             w = self._workers.setdefault(wid, _Worker(info, info.started_at))
             restarted = info.started_at > w.info.started_at
             w.info, w.ready, w.weight = info, info.state is WorkerState.READY, self._weight(info)
+            w.gone = False
             if restarted:  # after `ready`: what is rescued must not come back to one that drains again
                 self._void(w)
                 w.started, w.silent_since, w.asked, w.signs, w.strain = info.started_at, None, None, 0.0, 0.0
             if not w.ready:
                 self._leave(w, info.state is WorkerState.GONE)
-        self._list_number += weights != [w.weight for w in self._workers.values()]  # else the orders stay
+        self._forget_gone()
+        # Else the hash orders stay.
+        self._list_number += weights != {wid: w.weight for wid, w in self._workers.items()}
         self._ready = sum(w.ready for w in self._workers.values())
         self._all_weight = sum(w.weight for w in self._workers.values())
         for fn in list(self._functions.values()):
@@ -693,5 +701,15 @@
 
     def _leave(self, w: _Worker, gone: bool = True) -> None:
         """From the moment it is told, a draining or gone worker gets neither call nor order."""
-        w.ready = False
+        w.ready, w.gone = False, gone
         self._void(w, rescue=gone)
+
+    def _forget_gone(self) -> None:
+        """Guards against memory that grows with each worker replaced, and against gone ones that still weigh
+        in the mean of requests out. One that an open request was sent to is kept: repeats look at it."""
+        tried = {a.worker for req in self._requests.values() for a in req.attempts}
+        for wid in [wid for wid, w in self._workers.items() if w.gone and wid not in tried]:
+            del self._workers[wid]
+            for fn in self._functions.values():
+                fn.barred.pop(wid, None)
+                fn.missed.pop(wid, None)
