agreement: Raft as a state machine without I/O, clock or randomness of its own

Nothing leaves before what it rests on is durable: one place, Raft._rests. A replica's name includes its disk, so that one with an empty disk counts for nobody until it is taken in. Rules broken on purpose are found: a vote that leaves before it is durable, two votes in a term, an older term's entry agreed by count, a change of members before the last is agreed, a removed replica that is heard.

--- /dev/null
+++ b/tests/test_agreement.py
@@ -0,0 +1,358 @@
+"""The agreed history: what must hold in any order of events, and that rules broken on purpose are found."""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Callable, Iterator
+from random import Random
+
+import pytest
+
+from tests.raft_rig import TIMING, Cluster
+from walnutpost.agreement import (
+    Change,
+    Compact,
+    Due,
+    Effect,
+    Kept,
+    Members,
+    Raft,
+    Received,
+    Rejected,
+    Role,
+    Transfer,
+    VoteAsked,
+    VoteGiven,
+)
+
+THREE = ("a", "b", "c")
+
+
+# Any order
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_any_order_of_events_gives_one_history(seed: int) -> None:
+    """The rig looks at each step: one leader in a term, one history, applied once, no old answer."""
+    random = Random(seed)
+    cluster = Cluster(THREE, seed, spare=("d", "e"))
+    for _ in range(1500):
+        cluster.step(random)
+    # And once all is well again, it goes on.
+    for name in cluster.replicas:
+        if cluster.replicas[name].raft is None:
+            cluster.restart(name)
+    before = len(cluster.agreed)
+    for _ in range(40):
+        cluster.settle()
+        if cluster.leader:
+            cluster.propose(cluster.leader)
+        raft = [r.raft for r in cluster.replicas.values() if r.raft is not None]
+        cluster.due(min(raft, key=lambda r: r.due).me)
+    cluster.settle()
+    assert len(cluster.agreed) > before
+
+
+def test_every_order_of_votes_after_a_tie_gives_one_leader_in_a_term() -> None:
+    """All ways to go on, seven steps deep, from two candidates whose questions are under way."""
+    assert not any(_found(Raft))
+
+
+class VotesBeforeItIsDurable(Raft):
+    def _rests(self, effect: Effect | VoteGiven) -> None:
+        if isinstance(effect, VoteGiven):
+            self._count(effect)
+        else:
+            self._effects.append(effect)
+
+
+class VotesTwice(Raft):
+    def _may_vote(self, ask: VoteAsked) -> bool:
+        return (ask.last_term, ask.last_index) >= (self.log.last_term, self.log.last)
+
+
+@pytest.mark.parametrize("wrong", [VotesBeforeItIsDurable, VotesTwice])
+def test_a_vote_that_can_be_given_twice_is_found_by_trying_every_order(wrong: type[Raft]) -> None:
+    assert any(_found(wrong))
+
+
+def _tie(kind: type[Raft]) -> Cluster:
+    """a and b both stand in term 1; c has not been reached yet."""
+    cluster = Cluster(THREE, kind=kind)
+    cluster.now += 2 * TIMING.election
+    for name in ("a", "b"):
+        cluster.feed(name, Received(name, VoteGiven(0, "c", False, True)))
+        cluster.due(name)
+        cluster.feed(name, Received(name, VoteGiven(1, "c", True, True)))
+        if cluster.replicas[name].writes:
+            cluster.written(name)
+    cluster.wire = [
+        (to, m) for to, m in cluster.wire if isinstance(m, VoteAsked) and not m.trial and to == "c"
+    ]
+    assert len(cluster.wire) == 2
+    return cluster
+
+
+def _found(kind: type[Raft], depth: int = 7) -> Iterator[bool]:
+    """Breadth first: whether a step breaks what the rig looks at, once for each state not seen before."""
+    seen: set[str] = set()
+    states = [_tie(kind)]
+    for _ in range(depth):
+        states, before = [], states
+        for state in before:
+            for step in _steps(state):
+                following = copy.deepcopy(state)
+                try:
+                    step(following)
+                except AssertionError:
+                    yield True
+                    continue
+                key = _look(following)
+                if key not in seen:
+                    seen.add(key)
+                    states.append(following)
+        yield False
+
+
+def _steps(state: Cluster) -> list[Callable[[Cluster], None]]:
+    steps: list[Callable[[Cluster], None]] = [
+        lambda c, place=place: c.deliver(place)  # type: ignore[misc]
+        for place in range(len(state.wire))
+    ]
+    if state.replicas["c"].writes:
+        steps.append(lambda c: c.written("c"))
+    return [*steps, _lose_c]
+
+
+def _lose_c(cluster: Cluster) -> None:
+    cluster.crash("c")
+    cluster.restart("c")
+
+
+def _look(state: Cluster) -> str:
+    looks = [
+        (r.name, r.kept, r.writes, raft.term, raft._voted, raft.role, sorted(raft._votes))
+        for r in state.replicas.values()
+        if (raft := r.raft) is not None
+    ]
+    return repr((looks, sorted(map(repr, state.wire))))
+
+
+# Wrong rules
+
+
+class CommitsOlderTermsByCount(Raft):
+    def _may_commit(self, index: int) -> bool:
+        return True
+
+
+def test_an_older_terms_entry_counts_only_with_one_of_the_own_term() -> None:
+    """Figure 8 of the paper: on a majority, and replaced after all."""
+    cluster = Cluster(("a", "b", "c", "d", "e"))
+    cluster.elect("a")
+    cluster.propose("a")
+    cluster.settle("a", "b")
+    old = cluster.replicas["a"].raft
+    assert old is not None and old.commit == 1 and old.log.last == 2
+    for kind, agreed in ((Raft, 1), (CommitsOlderTermsByCount, 2)):
+        again = kind("a", Kept(5, "a", old.log.snapshot, old.log.after(0)), TIMING, 1)
+        again.handle(0, Due())
+        again.role = Role.CANDIDATE
+        again.commit = 1
+        again._become_leader()
+        assert again._lead is not None
+        for peer in ("b", "c"):
+            again._lead.peers[peer].match = 2
+        again._durable = 2
+        again._advance()
+        assert again.commit == agreed
+
+
+class ChangesBeforeTheLastIsAgreed(Raft):
+    def _may_change(self, members: Members) -> str:
+        return ""
+
+
+def _two_changes(kind: type[Raft]) -> Cluster:
+    """a, cut off, makes itself the only member in two steps; b and c go on by what they know."""
+    cluster = Cluster(THREE, kind=kind)
+    cluster.elect("a")
+    for id, voters in (("m1", ("a", "b")), ("m2", ("a",))):
+        cluster.feed("a", Change(id, Members(voters)))
+    cluster.settle("a")
+    cluster.elect("b", "b", "c")
+    cluster.propose("b")
+    cluster.settle("b", "c")
+    return cluster
+
+
+def test_a_change_of_members_waits_until_the_one_before_it_is_agreed() -> None:
+    assert [r.id for r in _two_changes(Raft).rejected] == ["m2"]
+    with pytest.raises(AssertionError, match="two histories"):
+        _two_changes(ChangesBeforeTheLastIsAgreed)
+
+
+def test_members_change_one_voter_at_a_time_and_only_who_has_caught_up_votes() -> None:
+    cluster = Cluster(THREE, spare=("d", "e"))
+    cluster.elect("a")
+    for voters, learners, why in (
+        (("a",), (), "one voter"),
+        ((*THREE, "d"), (), "caught up"),
+        (THREE, ("d",), ""),
+        ((*THREE, "d"), (), ""),
+        ((*THREE, "d", "e"), (), "caught up"),
+        (("b", "c", "d"), (), ""),
+    ):
+        cluster.rejected.clear()
+        cluster.feed("a", Change("m", Members(voters, learners)))
+        cluster.settle()
+        assert why in "".join(r.why for r in cluster.rejected) and bool(why) == bool(cluster.rejected)
+    raft = cluster.replicas["a"].raft
+    assert raft is not None and raft.role is Role.FOLLOWER, "a leader that is taken out leads no longer"
+    cluster.elect("d", "b", "c", "d")
+
+
+class HearsAnybody(Raft):
+    def _hears_leader(self) -> bool:
+        return False
+
+
+@pytest.mark.parametrize(("kind", "disturbed"), [(Raft, False), (HearsAnybody, True)])
+def test_a_removed_replica_disturbs_nobody(kind: type[Raft], disturbed: bool) -> None:
+    cluster = Cluster((*THREE, "d"), kind=kind)
+    cluster.elect("a")
+    cluster.feed("a", Change("m", Members(THREE)))
+    cluster.settle("a", "b", "c")  # d never learns of it
+    term = max(cluster.leaders)
+    raft = cluster.replicas["d"].raft
+    assert raft is not None
+    newest = VoteAsked(term + 5, "d", 99, term)  # as if it had all, and skipped the trial
+    for name in THREE:
+        cluster.feed(name, Received(name, newest))
+    cluster.settle()
+    assert (cluster.leader != "a") is disturbed
+
+
+# Each by itself
+
+
+def test_a_replica_with_an_empty_disk_votes_only_once_it_is_taken_in() -> None:
+    """Its new disk gives it a new name: a vote or an entry of the old one is not counted for it."""
+    cluster = Cluster(THREE, spare=("c#2",))
+    cluster.elect("a")
+    cluster.propose("a")
+    cluster.settle("a", "c")
+    cluster.crash("a")
+    cluster.crash("c")
+    cluster.now += 3 * TIMING.election
+    for _ in range(3):
+        for name in ("b", "c#2"):
+            cluster.due(name)
+        cluster.settle("b", "c#2")
+    assert not cluster.leader, "b lacks what was agreed, and nobody may help it to win"
+    cluster.restart("a")
+    cluster.elect("a", "a", "b")
+    for members in (Members(THREE, ("c#2",)), Members((*THREE, "c#2")), Members(("a", "b", "c#2"))):
+        cluster.feed("a", Change("m", members))
+        cluster.settle("a", "b", "c#2")
+    assert cluster.replicas["c#2"].state == cluster.replicas["a"].state
+    cluster.crash("a")
+    cluster.elect("c#2", "b", "c#2")
+
+
+def test_one_that_missed_more_than_the_log_holds_gets_the_whole_state() -> None:
+    cluster = Cluster(THREE)
+    cluster.elect("a")
+    cluster.crash("c")
+    for _ in range(20):
+        cluster.propose("a")
+    cluster.settle("a", "b")
+    a = cluster.replicas["a"]
+    cluster.feed("a", Compact(a.applied, ",".join(a.state).encode()))
+    cluster.settle("a", "b")
+    assert a.raft is not None and not a.raft.log.after(0)
+    cluster.restart("c")
+    cluster.propose("a")
+    cluster.settle()
+    cluster.due("a")
+    cluster.settle()
+    assert cluster.replicas["c"].state == a.state and len(a.state) == 22
+    cluster.crash("c")
+    cluster.restart("c")
+    cluster.feed("c", Due())
+    assert cluster.replicas["c"].applied == a.kept.snapshot.index, "the state outlives its process"
+
+
+def test_a_leader_that_is_cut_off_answers_no_question_and_steps_down() -> None:
+    cluster = Cluster(THREE)
+    cluster.elect("a")
+    cluster.ask("a")
+    cluster.settle("a")
+    assert not cluster.ready
+    cluster.elect("b", "b", "c")
+    cluster.propose("b")
+    cluster.settle("b", "c")
+    cluster.ask("b")
+    cluster.settle("b", "c")
+    assert [r.index for r in cluster.ready] == [max(cluster.agreed)]
+    cluster.now += TIMING.election
+    cluster.feed("a", Due())
+    raft = cluster.replicas["a"].raft
+    assert raft is not None and raft.role is Role.FOLLOWER
+    assert [r.why for r in cluster.rejected] == ["no longer the leader"]
+
+
+def test_one_that_was_cut_off_comes_back_without_raising_the_term() -> None:
+    cluster = Cluster(THREE)
+    cluster.elect("a")
+    term = max(cluster.leaders)
+    for _ in range(40):
+        cluster.due("a")
+        cluster.settle("a", "b")
+        cluster.feed("c", Due())
+        cluster.settle("c")
+    cluster.due("a")
+    cluster.settle()
+    assert cluster.leader == "a" and max(cluster.leaders) == term
+
+
+def test_a_leader_hands_over_at_once_and_takes_nothing_meanwhile() -> None:
+    cluster = Cluster(THREE)
+    cluster.elect("a")
+    cluster.feed("a", Transfer("b"))
+    id = cluster.propose("a")
+    cluster.settle()
+    assert cluster.leader == "b" and [r.id for r in cluster.rejected] == [id]
+
+
+def test_nothing_is_sent_or_answered_before_what_it_rests_on_is_durable() -> None:
+    cluster = Cluster(THREE)
+    cluster.elect("a")
+    cluster.wire.clear()
+    id = cluster.propose("a")
+    assert not cluster.wire, "the others hear of it once the leader holds it"
+    cluster.written("a")
+    sent = cluster.wire[:]
+    cluster.wire.clear()
+    for to, message in sent:
+        cluster.feed(to, Received(to, message))
+    assert not cluster.wire, "no word back before their disks have it"
+    cluster.settle()
+    cluster.due("a")
+    cluster.settle()
+    assert all(r.state[-1] == id for r in cluster.replicas.values())
+
+
+def test_a_message_for_a_process_that_had_the_address_before_is_not_heard() -> None:
+    raft = Raft("c#2", Kept(), TIMING, 1)
+    assert raft.handle(0, Received("c", VoteAsked(3, "a", 9, 2))) == [] and raft.term == 0
+
+
+def test_no_leader_no_change_and_the_asker_hears_who_leads() -> None:
+    cluster = Cluster(THREE)
+    cluster.elect("a")
+    cluster.propose("b")
+    cluster.feed("b", Change("m", Members(("a", "b"))))
+    cluster.ask("b")
+    assert [(r.why, r.leader) for r in cluster.rejected] == [("not the leader", "a")] * 3
+    assert isinstance(cluster.rejected[0], Rejected)
