--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -26,12 +26,13 @@
     "http",
     "loop",
     "gateway",
+    "fleet",
     "agreement",
     "rules",
     "interface",
 ]
 # trials.capture is a tap that the shell hands down; standins may use the worker protocol's words.
-NO_IO = ["agreement", "gateway", "metering", "schedules", "trust", "rules", "interface"]
+NO_IO = ["agreement", "fleet", "gateway", "metering", "schedules", "trust", "rules", "interface"]
 IO_MODULES = {
     "socket",
     "os",
--- /dev/null
+++ b/walnutpost/fleet/budgets.py
@@ -0,0 +1,52 @@
+"""Who is out, and whether one more may be. The one place where that is decided."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from walnutpost.fleet.commands import Budget
+from walnutpost.fleet.state import Member, Permit
+
+
+@dataclass(frozen=True, slots=True)
+class Use:
+    """One budget in one place: `out` of `allowed`, by name."""
+
+    budget: Budget
+    zone: str
+    allowed: int
+    out: tuple[str, ...]
+    silent: tuple[str, ...]
+
+    @property
+    def told(self) -> str:
+        where = f" in {self.zone}" if self.zone else ""
+        return f"{len(self.out)} of {self.allowed} {self.budget.kind}s{where} are out: {', '.join(self.out)}"
+
+
+def out(members: Mapping[str, Member], permits: Iterable[Permit]) -> set[str]:
+    """Whoever holds a permit and is not yet back, and whoever is silent."""
+    return {p.member for p in permits} | {name for name, m in members.items() if m.silent}
+
+
+def uses(
+    budgets: Iterable[Budget], members: Mapping[str, Member], permits: Iterable[Permit], kind: str, zone: str
+) -> list[Use]:
+    """The budgets that a member of this kind and zone counts in."""
+    gone, found = out(members, permits), []
+    for budget in budgets:
+        if budget.kind != kind or budget.zone not in ("", "*", zone):
+            continue
+        place = zone if budget.zone else ""
+        here = sorted(n for n, m in members.items() if m.kind == kind and place in ("", m.zone))
+        found.append(
+            Use(
+                budget,
+                place,
+                budget.allowed(len(here)),
+                tuple(n for n in here if n in gone),
+                tuple(n for n in here if members[n].silent),
+            )
+        )
+    return found
--- /dev/null
+++ b/walnutpost/fleet/commands.py
@@ -0,0 +1,201 @@
+"""What the history holds: commands, each with an id of its asker's, and the answer that applying one gives.
+
+A place in the fleet is *out* while its holder has a permit and is not yet back, or while it is silent.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+FORMAT = 1
+FRONT_END, WORKER = "front_end", "worker"
+
+
+class BadCommand(Exception):
+    """Bytes that are no command of this format: nothing is applied, the same at every keeper."""
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """A frozen value that is written with its fields in order."""
+
+
+class Budget(Record, frozen=True):
+    """At most so many members of a kind are out: `most`, or `share` of the members rounded down, but one at
+    least, since nothing could ever be replaced else. `zone` empty: in all; `*`: in each zone by itself."""
+
+    kind: str
+    zone: str = ""
+    most: int | None = None
+    share: float | None = None
+
+    def allowed(self, members: int) -> int:
+        if self.most is not None:
+            return self.most
+        return max(1, int((self.share or 0.0) * members))
+
+
+# Members
+
+
+class Enter(Record, frozen=True, tag=True):
+    """A process is up and ready. The same name with another incarnation is the same place, anew."""
+
+    member: str
+    kind: str
+    zone: str
+    incarnation: str
+    version: str = ""
+
+
+class Silent(Record, frozen=True, tag=True):
+    """Not heard of for a lease: this incarnation uses up the budget like one that is out."""
+
+    member: str
+    incarnation: str
+
+
+class Heard(Record, frozen=True, tag=True):
+    member: str
+    incarnation: str
+
+
+class Forget(Record, frozen=True, tag=True):
+    """An operator says that the place is gone for good."""
+
+    member: str
+
+
+# Permits
+
+
+class Ask(Record, frozen=True, tag=True):
+    """May `holder` take the member out? `plan` is the one it does so for, or empty for a drain by hand."""
+
+    member: str
+    holder: str
+    why: str
+    plan: str = ""
+
+
+class Began(Record, frozen=True, tag=True):
+    permit: str
+    holder: str
+
+
+class Unbegun(Record, frozen=True, tag=True):
+    """The holder has not begun, and never will under this permit."""
+
+    permit: str
+    holder: str
+
+
+class Back(Record, frozen=True, tag=True):
+    """The member is up and ready again as this incarnation: the place is in."""
+
+    permit: str
+    holder: str
+    incarnation: str
+    version: str = ""
+
+
+class Remove(Record, frozen=True, tag=True):
+    """An operator vouches that the place is not out, whatever its holder does."""
+
+    permit: str
+    operator: str
+
+
+# Plans
+
+
+class Keep(Record, frozen=True, tag=True):
+    """A version's checked content, by its digest."""
+
+    version: str
+    content: bytes
+
+
+class Start(Record, frozen=True, tag=True):
+    """Brings `members` to `version` (a release or the way back), or takes them out once (a drain, `version`
+    empty). `steps`: shares of the members that may be at it by then, ascending to 1; the first is always one
+    member. `back`: on a bad judgement go back to this version by itself."""
+
+    plan: str
+    members: tuple[str, ...]
+    version: str = ""
+    steps: tuple[float, ...] = (1.0,)
+    back: str = ""
+
+
+class Judge(Record, frozen=True, tag=True):
+    """The leader's judgement of a step whose members are all back."""
+
+    plan: str
+    step: int
+    good: bool
+    why: str = ""
+
+
+class Halt(Record, frozen=True, tag=True):
+    """Nothing begins any more for this plan, or for any where it is empty."""
+
+    why: str
+    plan: str = ""
+
+
+class Resume(Record, frozen=True, tag=True):
+    plan: str = ""
+
+
+class SetBudgets(Record, frozen=True, tag=True):
+    budgets: tuple[Budget, ...]
+
+
+Command = (
+    Enter
+    | Silent
+    | Heard
+    | Forget
+    | Ask
+    | Began
+    | Unbegun
+    | Back
+    | Remove
+    | Keep
+    | Start
+    | Judge
+    | Halt
+    | Resume
+    | SetBudgets
+)
+
+
+class Answer(Record, frozen=True):
+    """`done` or why not; `permit` where one was granted. `index` is the entry that it rests on."""
+
+    done: bool
+    index: int
+    why: str = ""
+    permit: str = ""
+
+
+class _Framed(Record, frozen=True):
+    format: int
+    command: Command
+
+
+_decoder = msgspec.msgpack.Decoder(_Framed)
+
+
+def encode(command: Command) -> bytes:
+    return msgspec.msgpack.encode(_Framed(FORMAT, command))
+
+
+def decode(data: bytes) -> Command:
+    try:
+        framed = _decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise BadCommand(f"not a command: {error}") from error
+    if framed.format != FORMAT:
+        raise BadCommand(f"format {framed.format}, wanted {FORMAT}")
+    return framed.command
--- /dev/null
+++ b/walnutpost/fleet/machine.py
@@ -0,0 +1,292 @@
+"""The machine that the history drives: the same commands give the same state at every keeper.
+
+No I/O, no clock. Each invariant is held in one function: `budgets.out` says who is out, `_grant` alone makes
+permits, `_returned` alone ends them.
+"""
+
+from __future__ import annotations
+
+from itertools import chain, zip_longest
+
+import msgspec
+
+from walnutpost.fleet import budgets
+from walnutpost.fleet.commands import (
+    Answer,
+    Ask,
+    Back,
+    BadCommand,
+    Began,
+    Command,
+    Enter,
+    Forget,
+    Halt,
+    Heard,
+    Judge,
+    Keep,
+    Remove,
+    Resume,
+    SetBudgets,
+    Silent,
+    Start,
+    Unbegun,
+    decode,
+)
+from walnutpost.fleet.state import Member, Permit, Plan, State
+
+ANSWERS_MOST = 10_000  # remembered: a command that comes again later than so many others is applied anew
+_decoder = msgspec.msgpack.Decoder(State)
+
+
+class Fleet:
+    def __init__(self, state: State | None = None) -> None:
+        self.state = state or State()
+
+    def snapshot(self) -> bytes:
+        return msgspec.msgpack.encode(self.state, order="deterministic")
+
+    @classmethod
+    def restore(cls, data: bytes) -> Fleet:
+        return cls(_decoder.decode(data)) if data else cls()
+
+    def apply(self, index: int, id: str, data: bytes) -> Answer:
+        """Once for each id: a command that an asker repeats after a lost answer gets the first answer."""
+        state = self.state
+        state.index = index
+        known = state.answers.get(id) if id else None
+        if known is not None:
+            return known
+        try:
+            answer = self._do(index, decode(data))
+        except BadCommand as error:
+            answer = self._no(str(error))
+        if id:
+            state.answers[id] = answer
+            while len(state.answers) > ANSWERS_MOST:
+                del state.answers[next(iter(state.answers))]
+        return answer
+
+    def _yes(self, permit: str = "") -> Answer:
+        return Answer(True, self.state.index, "", permit)
+
+    def _no(self, why: str) -> Answer:
+        return Answer(False, self.state.index, why)
+
+    def _do(self, index: int, command: Command) -> Answer:
+        state = self.state
+        match command:
+            case Enter():
+                return self._enter(command)
+            case Silent(member, incarnation):
+                return self._silent(member, incarnation)
+            case Heard(member, incarnation):
+                return self._heard(member, incarnation)
+            case Forget(member):
+                for permit in [p for p in state.permits.values() if p.member == member]:
+                    self._returned(permit)
+                return self._yes() if state.members.pop(member, None) else self._no(f"no member {member}")
+            case Ask():
+                return self._grant(index, command)
+            case Began(permit, holder):
+                held = state.permits.get(permit)
+                if held is None or held.holder != holder:
+                    return self._no(f"{holder} holds no permit {permit}")
+                held.began = True
+                return self._yes()
+            case Unbegun(permit, holder):
+                held = state.permits.get(permit)
+                if held is None or held.holder != holder or held.began:
+                    return self._no(f"{holder} holds no permit {permit} that has not begun")
+                self._returned(held)
+                return self._yes()
+            case Back():
+                return self._back(command)
+            case Remove(permit):
+                held = state.permits.get(permit)
+                if held is None:
+                    return self._no(f"no permit {permit}")
+                self._returned(held)
+                return self._yes()
+            case Keep(version, content):
+                state.versions[version] = content
+                return self._yes()
+            case Start():
+                return self._start(command)
+            case Judge():
+                return self._judge(command)
+            case Halt(why, plan):
+                return self._halt(why or "halted by an operator", plan)
+            case Resume(plan):
+                return self._resume(plan)
+            case SetBudgets(told):
+                state.budgets = list(told)
+                return self._yes()
+
+    # Members
+
+    def _enter(self, e: Enter) -> Answer:
+        """A place that is out by permit stays out: its holder says when it is back."""
+        self.state.members[e.member] = Member(e.kind, e.zone, e.incarnation, e.version)
+        return self._yes()
+
+    def _silent(self, name: str, incarnation: str) -> Answer:
+        member = self.state.members.get(name)
+        if member is None or member.incarnation != incarnation:
+            return self._no(f"{name} is not {incarnation} any more")
+        member.silent = True
+        for use in budgets.uses(
+            self.state.budgets, self.state.members, self.state.permits.values(), member.kind, member.zone
+        ):
+            if len(use.silent) >= use.allowed:
+                for plan in self.state.plans.values():
+                    if not plan.ended and not plan.halted:
+                        plan.halted = f"the budget is used up without it: {use.told}"
+        return self._yes()
+
+    def _heard(self, name: str, incarnation: str) -> Answer:
+        member = self.state.members.get(name)
+        if member is None or member.incarnation != incarnation:
+            return self._no(f"{name} is not {incarnation} any more")
+        member.silent = False
+        return self._yes()
+
+    # Permits
+
+    def _grant(self, index: int, ask: Ask) -> Answer:
+        state = self.state
+        member = state.members.get(ask.member)
+        if member is None:
+            return self._no(f"no member {ask.member}")
+        if held := next((p for p in state.permits.values() if p.member == ask.member), None):
+            return self._no(f"{ask.member} is out by {held.holder} under {held.id}")
+        if why := state.halted or self._against(ask):
+            return self._no(why)
+        if not member.silent:  # one that is silent is out already: to bring it back takes nothing more
+            for use in budgets.uses(
+                state.budgets, state.members, state.permits.values(), member.kind, member.zone
+            ):
+                if len(use.out) >= use.allowed:
+                    return self._no(use.told)
+        permit = Permit(f"p{index}", ask.member, ask.holder, ask.why, index, ask.plan)
+        state.permits[permit.id] = permit
+        return self._yes(permit.id)
+
+    def _against(self, ask: Ask) -> str:
+        """What its plan has against it."""
+        if not ask.plan:
+            return ""
+        plan = self.state.plans.get(ask.plan)
+        if plan is None or plan.ended:
+            return f"no plan {ask.plan} under way"
+        if plan.halted:
+            return plan.halted
+        if ask.member not in plan.order[: plan.reached()]:
+            return f"{ask.member} is not in step {plan.step + 1} of {ask.plan}"
+        if ask.member in plan.done:
+            return f"{ask.member} is done in {ask.plan}"
+        return ""
+
+    def _returned(self, permit: Permit) -> None:
+        del self.state.permits[permit.id]
+
+    def _back(self, back: Back) -> Answer:
+        held = self.state.permits.get(back.permit)
+        if held is None or held.holder != back.holder:
+            return self._no(f"{back.holder} holds no permit {back.permit}")
+        member = self.state.members[held.member]
+        member.incarnation, member.version, member.silent = back.incarnation, back.version, False
+        self._returned(held)
+        plan = self.state.plans.get(held.plan)
+        if plan is not None and held.member not in plan.done:
+            if not plan.version or plan.version == back.version:
+                plan.done.append(held.member)
+                self._look(plan)
+            else:
+                self._bad(plan, f"{held.member} came back with {back.version or 'nothing'} instead")
+        return self._yes()
+
+    # Plans
+
+    def _start(self, s: Start) -> Answer:
+        state = self.state
+        if s.plan in state.plans:
+            return self._no(f"plan {s.plan} is known already")
+        if open_plan := next((p.id for p in state.plans.values() if not p.ended), None):
+            return self._no(f"plan {open_plan} is under way")
+        if s.version and s.version not in state.versions:
+            return self._no(f"version {s.version} is not kept")
+        if s.back and s.back not in state.versions:
+            return self._no(f"version {s.back} to go back to is not kept")
+        if unknown := [m for m in s.members if m not in state.members]:
+            return self._no(f"no member {', '.join(unknown)}")
+        if not s.members or list(s.steps) != sorted({*s.steps}) or not s.steps or s.steps[-1] != 1.0:
+            return self._no("members, and steps that rise to 1, are wanted")
+        state.plans[s.plan] = Plan(s.plan, self._spread(s.members), s.version, list(s.steps), s.back)
+        return self._yes()
+
+    def _spread(self, names: tuple[str, ...]) -> list[str]:
+        """Each zone in turn, so that a step never takes a zone by itself."""
+        zones: dict[str, list[str]] = {}
+        for name in sorted(set(names)):
+            zones.setdefault(self.state.members[name].zone, []).append(name)
+        turns = zip_longest(*(zones[z] for z in sorted(zones)))
+        return [name for name in chain.from_iterable(turns) if name is not None]
+
+    def _look(self, plan: Plan) -> None:
+        """A drain needs no judgement; a release's steps end by one (`_judge`)."""
+        if not plan.version and len(plan.done) == len(plan.order):
+            plan.ended = "done"
+        elif not plan.version and len(plan.done) >= plan.reached():
+            plan.step += 1
+
+    def _judge(self, j: Judge) -> Answer:
+        plan = self.state.plans.get(j.plan)
+        if plan is None or plan.ended or plan.step != j.step:
+            return self._no(f"plan {j.plan} is not at step {j.step}")
+        if not j.good:
+            self._bad(plan, j.why)
+            return self._yes()
+        if plan.halted:
+            return self._no(plan.halted)
+        if len(plan.done) < plan.reached():
+            return self._no(f"{plan.reached() - len(plan.done)} members of step {j.step} are not back")
+        if len(plan.done) == len(plan.order):
+            plan.ended = "done"
+        else:
+            plan.step += 1
+        return self._yes()
+
+    def _bad(self, plan: Plan, why: str) -> None:
+        """Halts by itself and, where the plan says so, goes back by itself: a plan like any other."""
+        plan.halted = plan.halted or why
+        if plan.back and not plan.ended:
+            plan.ended = f"gone back: {why}"
+            touched = [m for m in plan.order if self._touched(plan, m)]
+            if touched:
+                id = f"{plan.id}.back"
+                self.state.plans[id] = Plan(id, touched, plan.back, [1.0], "")
+
+    def _touched(self, plan: Plan, name: str) -> bool:
+        member = self.state.members.get(name)
+        going = any(p.member == name and p.plan == plan.id for p in self.state.permits.values())
+        return going or (member is not None and member.version == plan.version)
+
+    def _halt(self, why: str, plan: str) -> Answer:
+        if not plan:
+            self.state.halted = why
+            return self._yes()
+        known = self.state.plans.get(plan)
+        if known is None or known.ended:
+            return self._no(f"no plan {plan} under way")
+        known.halted = why
+        return self._yes()
+
+    def _resume(self, plan: str) -> Answer:
+        if not plan:
+            self.state.halted = ""
+            return self._yes()
+        known = self.state.plans.get(plan)
+        if known is None or known.ended or not known.halted:
+            return self._no(f"no plan {plan} that is halted")
+        known.halted = ""
+        return self._yes()
--- /dev/null
+++ b/walnutpost/fleet/state.py
@@ -0,0 +1,63 @@
+"""What the fleet has agreed on, as plain values that a snapshot holds."""
+
+from __future__ import annotations
+
+import msgspec
+
+from walnutpost.fleet.commands import Answer, Budget
+
+
+class Value(msgspec.Struct):
+    """Changed by `machine.py` alone."""
+
+
+class Member(Value):
+    """One place in the fleet; `incarnation` is the process that fills it."""
+
+    kind: str
+    zone: str
+    incarnation: str
+    version: str = ""
+    silent: bool = False
+
+
+class Permit(Value):
+    """`at`: the entry that granted it. It comes back by proof only, never by time."""
+
+    id: str
+    member: str
+    holder: str
+    why: str
+    at: int
+    plan: str = ""
+    began: bool = False
+
+
+class Plan(Value):
+    """`order`: members as they are taken, spread over zones. `step`: how many judgements it has passed."""
+
+    id: str
+    order: list[str]
+    version: str
+    steps: list[float]
+    back: str
+    step: int = 0
+    done: list[str] = []
+    halted: str = ""
+    ended: str = ""
+
+    def reached(self) -> int:
+        """How many of the order may be at it by now: one first, and a share at each step after."""
+        share = self.steps[min(self.step, len(self.steps)) - 1] if self.step else 0.0
+        return max(1, int(share * len(self.order) + 1e-9)) if self.step < len(self.steps) else len(self.order)
+
+
+class State(Value):
+    index: int = 0
+    members: dict[str, Member] = {}
+    permits: dict[str, Permit] = {}
+    plans: dict[str, Plan] = {}
+    versions: dict[str, bytes] = {}
+    budgets: list[Budget] = []
+    halted: str = ""
+    answers: dict[str, Answer] = {}  # by command id, the newest last
