--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -16,6 +16,7 @@
     "standins",
     "node",
     "daemon",
+    "keeper",
     "fronts",
     "config",
     "store",
--- /dev/null
+++ b/walnutpost/cli/keepers.py
@@ -0,0 +1,228 @@
+"""`walnutpost keeper` and `walnutpost fleet`: the agreed history, run and asked."""
+
+from __future__ import annotations
+
+import json
+import secrets
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NoReturn, TypeVar
+
+import click
+
+from walnutpost.agreement import Members, Timing
+from walnutpost.cli.configs import CONFIG, end
+from walnutpost.cli.run import make_loop, stop_event
+from walnutpost.config import ConfigError, load
+from walnutpost.config.keepers import Keepers
+from walnutpost.config.model import address_of
+from walnutpost.config.settings import us
+from walnutpost.fleet import Answer, Command, Fleet, Halt, Remove, Resume
+from walnutpost.fleet import budgets as rules
+from walnutpost.keeper import Keeper, KeeperClient, KeeperError, NoAnswer
+from walnutpost.keeper.wire import View
+from walnutpost.loop import Loop
+from walnutpost.store import StoreError
+from walnutpost.trials.table import aligned
+
+T = TypeVar("T")
+PATIENCE, EACH = 10_000_000, 3_000_000
+FORM = click.option("--format", "form", type=click.Choice(["table", "json"]), default="table")
+
+
+def _keepers(path: Path) -> Keepers:
+    try:
+        return load(path, Keepers)
+    except ConfigError as error:
+        end(*error.lines)
+
+
+@click.command()
+@CONFIG
+@click.option("--name", required=True, help="Which of CONFIG's keepers.")
+@click.option("--found", is_flag=True, help="The first start of all keepers: they are each other's members.")
+@click.pass_obj
+def keeper(log: Any, config: Path, name: str, found: bool) -> None:
+    """Run one keeper of the fleet's agreed history.
+
+    Without --found, one whose folder is empty waits until the others have taken it in (`fleet keepers`).
+    """
+    checked = _keepers(config)
+    lines = {line.name: line for line in checked.keepers}
+    if name not in lines:
+        end(f"--name: found {name!r}; wanted one of {', '.join(lines)}")
+    loop = make_loop(log)
+    broken: list[KeeperError] = []
+
+    def run() -> Keeper:
+        stop = stop_event(loop, log)
+
+        def failed(error: KeeperError) -> None:
+            broken.append(error)
+            stop.set()
+
+        def at(address: str) -> Callable[[], tuple[str, int]]:
+            return lambda: address_of(address)
+
+        kept = Keeper(
+            loop,
+            name,
+            {line.name: at(line.address) for line in checked.keepers},
+            address_of(lines[name].listen or lines[name].address),
+            config.parent / checked.folder,
+            Timing(us(checked.election_ms), us(checked.heartbeat_ms)),
+            us(checked.lease_ms),
+            log,
+            secrets.randbits(63),
+            found,
+            checked.log_most,
+            failed,
+        )
+        stop.wait()
+        kept.stop()
+        return kept
+
+    try:
+        loop.run(run).close()
+    except (StoreError, OSError) as error:
+        end(f"{config}: keeper {name}: {error}")
+    if broken:
+        end(f"keeper {name}: its disk failed: {broken[0]}", code=1)
+
+
+@click.group()
+def fleet() -> None:
+    """What the fleet has agreed on: who is out, what plans wait for, halts."""
+
+
+def _with(config: Path, log: Any, ask: Callable[[KeeperClient], T]) -> T:
+    """Asks within a loop; no answer ends the program with code 3."""
+    loop: Loop = make_loop(log)
+    addresses = {line.name: address_of(line.address) for line in _keepers(config).keepers}
+    try:
+        return loop.run(lambda: ask(KeeperClient(loop, addresses, PATIENCE, EACH)))
+    except NoAnswer as error:
+        _nobody(error)
+
+
+def _nobody(error: NoAnswer) -> NoReturn:
+    end(f"no quorum of the keepers answered: {error}", code=3)
+
+
+def _told(answer: Answer) -> None:
+    if not answer.done:
+        end(f"not done: {answer.why}", code=1)
+    click.echo(f"agreed at {answer.index}")
+
+
+@fleet.command()
+@CONFIG
+@FORM
+@click.pass_obj
+def status(log: Any, config: Path, form: str) -> None:
+    """Who leads, what is halted, how far each budget is used, who is out and why."""
+    view, agreed = _with(config, log, lambda client: client.state())
+    told = _status(view, agreed)
+    if form == "json":
+        click.echo(json.dumps(told))
+        return
+    click.echo(f"index {told['index']}, led by {told['leader']} in term {told['term']}")
+    click.echo(f"halted: {told['halted']}" if told["halted"] else "not halted")
+    for line in told["budgets"]:
+        click.echo(line)
+    rows = [[o["member"], o["holder"], o["why"], o["permit"]] for o in told["out"]]
+    click.echo(aligned([["out", "by", "why", "permit"], *rows]) if rows else "nobody is out")
+
+
+def _status(view: View, agreed: Fleet) -> dict[str, Any]:
+    state = agreed.state
+    permits = {p.member: p for p in state.permits.values()}
+    used: dict[str, None] = {}
+    for member in state.members.values():
+        for use in rules.uses(state.budgets, state.members, state.permits.values(), member.kind, member.zone):
+            used[use.told] = None
+    return {
+        "index": view.index,
+        "leader": view.leader,
+        "term": view.term,
+        "keepers": list(view.members.all),
+        "halted": state.halted,
+        "budgets": list(used),
+        "out": [
+            {
+                "member": name,
+                "holder": permits[name].holder if name in permits else "",
+                "why": permits[name].why if name in permits else "not heard of for a lease",
+                "permit": permits[name].id if name in permits else "",
+            }
+            for name in sorted(rules.out(state.members, state.permits.values()))
+        ],
+        "plans": {
+            p.id: {
+                "step": p.step,
+                "done": len(p.done),
+                "of": len(p.order),
+                "halted": p.halted,
+                "ended": p.ended,
+            }
+            for p in state.plans.values()
+        },
+    }
+
+
+def _do(log: Any, config: Path, id: str | None, command: Command) -> None:
+    """An `--id` that is given again after a time-out gets the answer of the first time."""
+    known = id or secrets.token_hex(8)
+    click.echo(f"id {known}", err=True)
+    _told(_with(config, log, lambda client: client.command(known, command)))
+
+
+ID = click.option("--id", "id", help="The id of an earlier try that got no answer.")
+
+
+@fleet.command()
+@CONFIG
+@click.option("--plan", default="", help="This plan alone.")
+@click.option("--why", required=True)
+@ID
+@click.pass_obj
+def halt(log: Any, config: Path, plan: str, why: str, id: str | None) -> None:
+    """Nothing that has not begun begins any more; in effect begin_within_ms after it is agreed."""
+    _do(log, config, id, Halt(why, plan))
+
+
+@fleet.command()
+@CONFIG
+@click.option("--plan", default="", help="This plan alone.")
+@ID
+@click.pass_obj
+def resume(log: Any, config: Path, plan: str, id: str | None) -> None:
+    """What was halted may go on."""
+    _do(log, config, id, Resume(plan))
+
+
+@fleet.command()
+@CONFIG
+@click.argument("permit")
+@click.option("--operator", required=True, help="Who vouches that the place is not out.")
+@ID
+@click.pass_obj
+def remove(log: Any, config: Path, permit: str, operator: str, id: str | None) -> None:
+    """Give back a permit whose holder will never do so."""
+    _do(log, config, id, Remove(permit, operator))
+
+
+@fleet.command("keepers")
+@CONFIG
+@click.option("--voter", "voters", multiple=True, help="By the name of its disk; all of them to be.")
+@click.option("--learner", "learners", multiple=True, help="Is sent everything, and counts for nothing yet.")
+@click.pass_obj
+def keepers(log: Any, config: Path, voters: tuple[str, ...], learners: tuple[str, ...]) -> None:
+    """Show the keepers, or change them by one voter: take one in to learn, then to vote."""
+    if not voters:
+        view, _ = _with(config, log, lambda client: client.state())
+        for name in view.members.all:
+            click.echo(f"{name}  {'votes' if name in view.members.voters else 'learns'}")
+        return
+    members = Members(voters, learners)
+    _told(_with(config, log, lambda client: client.change(secrets.token_hex(8), members)))
--- /dev/null
+++ b/walnutpost/config/keepers.py
@@ -0,0 +1,48 @@
+"""The file of a fleet's agreement: its keepers, and the times that they and the members go by."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from pydantic import Field, StringConstraints, field_validator, model_validator
+
+from walnutpost.config.model import Ms, Strict, address_of
+
+KeeperName = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9_.-]{1,60}$")]
+
+
+class KeeperLine(Strict):
+    """`listen` is where this keeper takes connections, if not at the address that the others use."""
+
+    name: KeeperName
+    address: str
+    listen: str | None = None
+
+    @field_validator("address", "listen")
+    @classmethod
+    def _readable(cls, value: str | None) -> str | None:
+        if value is not None:
+            address_of(value)
+        return value
+
+
+class Keepers(Strict):
+    """`lease_ms`: a member not heard of for so long is out. `begin_within_ms`: in which the holder of a
+    permit may begin, from when it asked; a halt has taken effect after it."""
+
+    keepers: list[KeeperLine] = Field(min_length=1, max_length=9)
+    folder: str = "keepers"
+    election_ms: Ms = 1000
+    heartbeat_ms: Ms = 150
+    lease_ms: Ms = 5000
+    begin_within_ms: Ms = 5000
+    log_most: int = Field(5000, ge=10)
+
+    @model_validator(mode="after")
+    def _fits(self) -> Keepers:
+        names = [line.name for line in self.keepers]
+        if len(set(names)) < len(names):
+            raise ValueError("keepers with names of their own")
+        if not 0 < self.heartbeat_ms * 3 <= self.election_ms:
+            raise ValueError("heartbeat_ms above 0 and at most a third of election_ms")
+        return self
--- /dev/null
+++ b/walnutpost/keeper/client.py
@@ -0,0 +1,94 @@
+"""Asks the keepers: any of them, then whoever leads, until one knows or the time is up."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from walnutpost.agreement import Members
+from walnutpost.fleet import Answer, Command, Fleet, encode
+from walnutpost.http import BadMessage, Connection, Limits, Response
+from walnutpost.keeper import wire
+from walnutpost.loop import Loop, Timeout
+
+PAUSE = 100_000
+
+
+class NoAnswer(Exception):
+    """No keeper answered for sure in time. A command may have been agreed on: ask the same id again."""
+
+
+class KeeperClient:
+    """`patience`: microseconds that one question takes at the most; `each`: that one keeper gets of it."""
+
+    def __init__(
+        self, loop: Loop, addresses: Mapping[str, tuple[str, int]], patience: int, each: int
+    ) -> None:
+        self._loop = loop
+        self._addresses = dict(addresses)
+        self._patience, self._each = patience, each
+        self._leader = ""
+
+    def command(self, id: str, command: Command) -> Answer:
+        """The agreed answer. An `id` that was used before gets the answer of then."""
+        return self._answer(wire.COMMANDS, wire.encode(wire.Order(id, encode(command))))
+
+    def change(self, id: str, members: Members) -> Answer:
+        return self._answer(wire.MEMBERS, wire.encode(wire.Membership(id, members)))
+
+    def report(self, member: str, incarnation: str) -> Answer:
+        return self._answer(wire.REPORTS, wire.encode(wire.Report(member, incarnation)))
+
+    def state(self) -> tuple[wire.View, Fleet]:
+        """What a quorum confirms to be the newest."""
+        view = wire.decode(self._ask("GET", wire.STATE, b"").body, wire.View)
+        return view, Fleet.restore(view.state)
+
+    def here(self, keeper: str) -> wire.View:
+        """What this keeper holds, however old; raises NoAnswer."""
+        try:
+            with self._loop.timeout(self._each):
+                return wire.decode(self._one(keeper, "GET", wire.STATE + "?here", b"").body, wire.View)
+        except (OSError, BadMessage, Timeout, wire.BadWire) as error:
+            raise NoAnswer(f"{keeper}: {error}") from error
+
+    def _answer(self, target: str, body: bytes) -> Answer:
+        answer = wire.decode(self._ask("POST", target, body).body, wire.Told).answer
+        assert answer is not None
+        return answer
+
+    def _ask(self, method: str, target: str, body: bytes) -> Response:
+        until, why, turn = self._loop.now() + self._patience, "nobody was asked", list(self._addresses)
+        while self._loop.now() < until:
+            keeper = self._leader or turn[0]
+            turn.append(turn.pop(0))
+            self._leader = ""
+            try:
+                with self._loop.timeout(min(self._each, max(1, until - self._loop.now()))):
+                    response = self._one(keeper, method, target, body)
+            except (OSError, BadMessage, Timeout) as error:
+                why = f"{keeper}: {type(error).__name__} {error}"
+                self._loop.sleep(PAUSE)
+                continue
+            if response.status == 200:
+                self._leader = keeper
+                return response
+            try:
+                told = wire.decode(response.body, wire.Told)
+            except wire.BadWire:
+                raise NoAnswer(f"{keeper}: {response.status} {response.body[:200]!r}") from None
+            why = f"{keeper}: {told.why}"
+            if told.why not in ("not the leader", "new in office", "no longer the leader") and told.sure:
+                return Response(200, body=wire.encode(wire.Told(Answer(False, 0, told.why))))
+            if told.leader in self._addresses and told.leader != keeper:
+                self._leader = told.leader
+            else:
+                self._loop.sleep(PAUSE)
+        raise NoAnswer(why)
+
+    def _one(self, keeper: str, method: str, target: str, body: bytes) -> Response:
+        limits = Limits(body=wire.BODY_MOST)
+        connection = Connection.open(self._loop, self._addresses[keeper], limits=limits)
+        try:
+            return connection.ask(method, target, {"Content-Type": "application/msgpack"}, body)
+        finally:
+            connection.close()
--- /dev/null
+++ b/walnutpost/keeper/process.py
@@ -0,0 +1,285 @@
+"""One keeper: a replica of the history on its disk, its peers, and those who ask. Adds no decision."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+from walnutpost.agreement import (
+    Apply,
+    Change,
+    Compact,
+    Due,
+    Effect,
+    Input,
+    Kind,
+    Members,
+    Propose,
+    Raft,
+    Read,
+    ReadReady,
+    Received,
+    Rejected,
+    Restore,
+    Role,
+    RoleChanged,
+    Send,
+    Timing,
+    Transfer,
+    Write,
+    Written,
+)
+from walnutpost.fleet import Answer, Fleet, Leases, encode
+from walnutpost.http import BadMessage, Exchange, Limits, Response
+from walnutpost.http.server import serve_on
+from walnutpost.keeper import wire
+from walnutpost.keeper.peers import Peer
+from walnutpost.loop import Loop, Task
+from walnutpost.loop.timers import Timer
+from walnutpost.store import StoreError
+from walnutpost.store.replica import ReplicaStore
+
+ANSWER_ELECTIONS = 3  # elections that an asker is kept waiting for, at the most
+LOOKS_IN_A_LEASE = 5
+Address = tuple[str, int]
+
+
+class KeeperError(Exception):
+    """It can't go on: its disk did not take a write, or holds what can't be read."""
+
+
+class Keeper:
+    """`addresses` tells where each keeper of the configuration is reached. `found`: all of them
+    start for the first time, and are each other's members. Without it an empty disk waits to be taken in."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        name: str,
+        addresses: Mapping[str, Callable[[], Address]],
+        listen: Address,
+        folder: Path,
+        timing: Timing,
+        lease: int,
+        log: Any,
+        seed: int,
+        found: bool = False,
+        log_most: int = 5000,
+        failed: Callable[[KeeperError], None] | None = None,
+    ) -> None:
+        self.name = name
+        self._loop, self._log, self._timing, self._lease = loop, log, timing, lease
+        self._log_most = log_most
+        self._failed = failed
+        folder.mkdir(parents=True, exist_ok=True)
+        self._store = ReplicaStore(loop, folder / f"{name}.db")
+        identity, kept = self._kept(found, tuple(addresses), seed)
+        self.raft = Raft(identity, kept, timing, seed)
+        self.fleet = Fleet()
+        self._peers = {n: Peer(loop, a, timing.election) for n, a in addresses.items() if n != name}
+        self._inbox: deque[Input] = deque()
+        self._busy = self._writing = self.ended = False
+        self._writes: list[Write] = []
+        self._askers: dict[str, list[tuple[Task[Any], int]]] = {}
+        self._timer: Timer | None = None
+        self._leases: Leases | None = None
+        self._applied = 0
+        self._count = 0
+        self._server = serve_on(
+            loop, listen, self._serve, self._refusal, Limits(body=wire.BODY_MOST), role="keeper"
+        )
+        self._feed(Due())
+        log.info("keeper", replica=identity, address="{}:{}".format(*self.address))
+
+    def _kept(self, found: bool, names: tuple[str, ...], seed: int) -> tuple[str, Any]:
+        known = self._store.load()
+        if known is not None:
+            if found:
+                self._log.warning("founded before", replica=known[0])
+            return known
+        identity = self.name if found else f"{self.name}#{seed & 0xFFFFFFFF:08x}"
+        return identity, self._store.make_new(identity, Members(names) if found else Members())
+
+    @property
+    def address(self) -> Address:
+        return self._server.address
+
+    def stop(self) -> None:
+        """Hands over if it leads, and ends. What is not durable is as if it had never been."""
+        others = [n for n in self.raft.members.voters if n != self.raft.me]
+        if self.raft.role is Role.LEADER and others:
+            self._feed(Transfer(others[0]))
+            self._loop.sleep(self._timing.heartbeat)
+        self.ended = True
+        self._server.stop_accepting()
+        self._server.group.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
+        for peer in self._peers.values():
+            peer.close()
+
+    def close(self) -> None:
+        """After the loop has ended."""
+        self._store.close()
+
+    # The replica
+
+    def _feed(self, event: Input) -> None:
+        self._inbox.append(event)
+        if self._busy or self.ended:
+            return
+        self._busy = True
+        try:
+            while self._inbox:
+                for effect in self.raft.handle(self._loop.now(), self._inbox.popleft()):
+                    self._carry_out(effect)
+        finally:
+            self._busy = False
+        if self._timer is not None:
+            self._timer.cancel()
+        wait = max(1000, self.raft.due - self._loop.now())
+        self._timer = self._loop.call_later(wait, lambda: self._feed(Due()))
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Write():
+                self._writes.append(effect)
+                if not self._writing:
+                    self._writing = True
+                    self._loop.spawn(self._write, name="writes")
+            case Send(to, message):
+                peer = self._peers.get(wire.keeper_of(to))
+                if peer is not None:
+                    peer.send(to, message)
+            case Apply(entries):
+                for entry in entries:
+                    self._applied = entry.index
+                    if entry.kind is Kind.COMMAND:
+                        answer = self.fleet.apply(entry.index, entry.id, entry.data)
+                        self._answer(entry.id, wire.Told(answer))
+                    elif entry.kind is Kind.MEMBERS:
+                        self._log.info("keepers", index=entry.index, members=entry.members.all)
+                        self._answer(entry.id, wire.Told(Answer(True, entry.index)))
+                if self._applied - self.raft.log.snapshot.index > self._log_most:
+                    self._inbox.append(Compact(self._applied, self.fleet.snapshot()))
+            case Restore(snapshot):
+                self.fleet, self._applied = Fleet.restore(snapshot.data), snapshot.index
+            case ReadReady(id):
+                self._answer(id, wire.Told())
+            case Rejected(id, why, leader):
+                self._answer(id, wire.Told(None, True, why, wire.keeper_of(leader)))
+            case RoleChanged(role, term, leader):
+                self._log.info("role", role=role.value, term=term, leader=leader)
+                self._leases = Leases(self._loop.now(), self._lease) if role is Role.LEADER else None
+                if self._leases is not None:
+                    self._loop.call_later(self._lease // LOOKS_IN_A_LEASE, self._look_at_leases)
+
+    def _write(self) -> None:
+        """A task: one commit for all that waits. A disk that fails ends the keeper: nothing rests on it."""
+        try:
+            while self._writes and not self.ended:
+                batch, self._writes = self._writes, []
+                self._store.write(batch)
+                self._feed(Written(batch[-1].number))
+        except StoreError as error:
+            self._log.error("disk", why=str(error))
+            self.ended = True
+            if self._failed is not None:
+                self._failed(KeeperError(str(error)))
+        finally:
+            self._writing = False
+
+    def _look_at_leases(self) -> None:
+        leases = self._leases
+        if leases is None or self.ended:
+            return
+        for command in leases.look(self._loop.now(), self.fleet.state.members):
+            self._count += 1
+            self._feed(Propose(f"{self.raft.me}.{self.raft.term}.{self._count}", encode(command)))
+            self._log.info("lease", command=type(command).__name__.lower(), member=command.member)  # type: ignore[union-attr]
+        self._loop.call_later(self._lease // LOOKS_IN_A_LEASE, self._look_at_leases)
+
+    # Those who ask
+
+    def _answer(self, id: str, told: wire.Told) -> None:
+        for task, token in self._askers.pop(id, ()):
+            self._loop.wake(task, token, told)
+
+    def _ask(self, id: str, event: Input) -> wire.Told:
+        """Waits for the answer to `id`. What gets none in time may have been agreed on all the same."""
+        task, token = self._loop.waiting()
+        self._askers.setdefault(id, []).append((task, token))
+        unsure = wire.Told(None, False, "no quorum has answered in time", wire.keeper_of(self.raft.leader))
+        wait = ANSWER_ELECTIONS * self._timing.election
+        timer = self._loop.call_later(wait, lambda: self._loop.wake(task, token, unsure))
+        self._feed(event)
+        try:
+            told: wire.Told = self._loop.park()
+        finally:
+            timer.cancel()
+            waiting = self._askers.get(id, [])
+            if (task, token) in waiting:
+                waiting.remove((task, token))
+            if not waiting:
+                self._askers.pop(id, None)
+        return told
+
+    def _serve(self, exchange: Exchange) -> Response:
+        request = exchange.request
+        target = request.target.decode("ascii", "replace").partition("?")
+        try:
+            match request.method, target[0]:
+                case "POST", wire.MESSAGES:
+                    post = wire.decode(request.body, wire.Post)
+                    for message in post.messages:
+                        self._feed(Received(post.to, message))
+                    return Response(204)
+                case "POST", wire.COMMANDS:
+                    order = wire.decode(request.body, wire.Order)
+                    return self._told(self._ask(order.id, Propose(order.id, order.command)))
+                case "POST", wire.MEMBERS:
+                    wanted = wire.decode(request.body, wire.Membership)
+                    return self._told(self._ask(wanted.id, Change(wanted.id, wanted.members)))
+                case "POST", wire.REPORTS:
+                    report = wire.decode(request.body, wire.Report)
+                    if self._leases is None:
+                        return self._told(
+                            wire.Told(None, True, "not the leader", wire.keeper_of(self.raft.leader))
+                        )
+                    self._leases.report(self._loop.now(), report.member, report.incarnation)
+                    return self._told(wire.Told(Answer(True, self._applied)))
+                case "GET", wire.STATE:
+                    return self._state(target[2] == "here")
+        except wire.BadWire as error:
+            return Response(400, body=str(error).encode())
+        return Response(404, body=b"no such thing here")
+
+    def _state(self, here: bool) -> Response:
+        """With `here` what this keeper holds, however old; else what a quorum confirms."""
+        if not here:
+            self._count += 1
+            id = f"read {self.raft.me} {self._count}"
+            told = self._ask(id, Read(id))
+            if told.why:
+                return self._told(told)
+        raft = self.raft
+        view = wire.View(
+            self._applied,
+            self.name,
+            wire.keeper_of(raft.leader),
+            raft.term,
+            raft.members,
+            self.fleet.snapshot(),
+            not here,
+        )
+        return Response(200, {"Content-Type": "application/msgpack"}, wire.encode(view))
+
+    def _told(self, told: wire.Told) -> Response:
+        status = 200 if told.answer is not None else 421 if told.sure else 504
+        return Response(status, {"Content-Type": "application/msgpack"}, wire.encode(told))
+
+    @staticmethod
+    def _refusal(error: BadMessage) -> Response:
+        return Response(error.status, body=str(error).encode())
--- /dev/null
+++ b/walnutpost/keeper/wire.py
@@ -0,0 +1,107 @@
+"""What keepers and those who ask them say to each other, in msgpack over HTTP. No I/O."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+
+from walnutpost.agreement import Members, Message
+from walnutpost.fleet import Answer
+
+FORMAT = 1
+MESSAGES, COMMANDS, STATE, REPORTS, MEMBERS = (
+    "/keeper/1/messages",
+    "/fleet/1/commands",
+    "/fleet/1/state",
+    "/fleet/1/reports",
+    "/keeper/1/members",
+)
+BODY_MOST = 32 << 20  # a whole state with the versions it keeps
+
+
+class BadWire(Exception):
+    """Bytes that are not what is spoken here."""
+
+
+class Record(msgspec.Struct, frozen=True):
+    """Fields by name, so that a later version may have more of them."""
+
+
+class Post(Record, frozen=True):
+    """Messages for the replica `to`, in order; they may be lost, and may come twice."""
+
+    to: str
+    messages: tuple[Message, ...]
+    format: int = FORMAT
+
+
+class Order(Record, frozen=True):
+    """One command as the history holds it; the same `id` again is the same command."""
+
+    id: str
+    command: bytes
+    format: int = FORMAT
+
+
+class Report(Record, frozen=True):
+    """A member is there."""
+
+    member: str
+    incarnation: str
+    format: int = FORMAT
+
+
+class Membership(Record, frozen=True):
+    """Keepers to be, by the names of their disks."""
+
+    id: str
+    members: Members
+    format: int = FORMAT
+
+
+class Told(Record, frozen=True):
+    """An answer. `sure` is False where the command may have been agreed on and may not. `leader` is the
+    keeper that may know more, or empty."""
+
+    answer: Answer | None = None
+    sure: bool = True
+    why: str = ""
+    leader: str = ""
+
+
+class View(Record, frozen=True):
+    """The state at `index`; `asked` True where a quorum confirmed that nothing older is told."""
+
+    index: int
+    keeper: str
+    leader: str
+    term: int
+    members: Members
+    state: bytes
+    asked: bool
+
+
+T = TypeVar("T", bound=Record)
+Spoken = Post | Order | Report | Membership | Told | View
+
+
+def encode(value: Spoken) -> bytes:
+    return msgspec.msgpack.encode(value)
+
+
+def decode(data: bytes, kind: type[T]) -> T:
+    """Raises BadWire."""
+    try:
+        value = msgspec.msgpack.decode(data, type=kind)
+    except msgspec.MsgspecError as error:
+        raise BadWire(f"{kind.__name__}: {error}") from error
+    form = getattr(value, "format", FORMAT)
+    if form != FORMAT:
+        raise BadWire(f"{kind.__name__}: format {form}, wanted {FORMAT}")
+    return value
+
+
+def keeper_of(replica: str) -> str:
+    """The keeper's name in the configuration; what follows tells its disk."""
+    return replica.partition("#")[0]
--- a/walnutpost/node/workers.py
+++ b/walnutpost/node/workers.py
@@ -218,7 +218,7 @@
         self._count = 0
         self._tags = 0
         self._attempts: dict[tuple[int, int], _Sent] = {}
-        self.dialled = self.spoilt_answers = 0
+        self.dialled = self.spoilt_answers = self.ordered = self.asked = 0
         self.ends: Counter[tuple[str, Outcome]] = Counter()  # how attempts ended, since it was last looked at
         loop.call_later(SWEEP, self._sweep)
 
@@ -292,6 +292,8 @@
         tag = self._tag()
         sent = _Sent(tag, resp.spawn(tag, effect.function, effect.copies), self.loop.now(), end)
         sent.harmless = not effect.copies
+        self.ordered += effect.copies > 0
+        self.asked += not effect.copies
         self._within(sent, self.limits.order_timeout)
         self.place(effect.worker, sent)
 
