--- a/walnutpost/cli/keepers.py
+++ b/walnutpost/cli/keepers.py
@@ -13,7 +13,7 @@
 from walnutpost.agreement import Members, Timing
 from walnutpost.cli.configs import CONFIG, end
 from walnutpost.cli.run import make_loop, stop_event
-from walnutpost.config import ConfigError, load
+from walnutpost.config import ConfigError, keys_of, load
 from walnutpost.config.keepers import Keepers
 from walnutpost.config.model import address_of
 from walnutpost.config.settings import us
@@ -30,7 +30,12 @@
 FORM = click.option("--format", "form", type=click.Choice(["table", "json"]), default="table")
 
 
-def _keepers(path: Path) -> Keepers:
+def is_keepers(path: Path) -> bool:
+    """Whether the file is about keepers, not about a front end."""
+    return "keepers" in keys_of(path)
+
+
+def keepers_of(path: Path) -> Keepers:
     try:
         return load(path, Keepers)
     except ConfigError as error:
@@ -47,7 +52,7 @@
 
     Without --found, one whose folder is empty waits until the others have taken it in (`fleet keepers`).
     """
-    checked = _keepers(config)
+    checked = keepers_of(config)
     lines = {line.name: line for line in checked.keepers}
     if name not in lines:
         end(f"--name: found {name!r}; wanted one of {', '.join(lines)}")
@@ -98,7 +103,7 @@
 def _with(config: Path, log: Any, ask: Callable[[KeeperClient], T]) -> T:
     """Asks within a loop; no answer ends the program with code 3."""
     loop: Loop = make_loop(log)
-    addresses = {line.name: address_of(line.address) for line in _keepers(config).keepers}
+    addresses = {line.name: address_of(line.address) for line in keepers_of(config).keepers}
     try:
         return loop.run(lambda: ask(KeeperClient(loop, addresses, PATIENCE, EACH)))
     except NoAnswer as error:
--- a/walnutpost/cli/main.py
+++ b/walnutpost/cli/main.py
@@ -14,7 +14,7 @@
 
 from walnutpost.cli import logs, run
 from walnutpost.cli.configs import CONFIG, config_of, end
-from walnutpost.cli.keepers import fleet, keeper
+from walnutpost.cli.keepers import fleet, is_keepers, keeper, keepers_of
 from walnutpost.cli.keys import keys
 from walnutpost.cli.times import local, upcoming
 from walnutpost.cli.usage import usage
@@ -115,7 +115,9 @@
     Several files are taken for the front ends of one site: a schedule that two of them would fire is an
     error.
     """
-    checked = {path: config_of(path) for path in configs}
+    for path in [p for p in configs if is_keepers(p)]:
+        click.echo(f"{path}: {len(keepers_of(path).keepers)} keepers")
+    checked = {path: config_of(path) for path in configs if not is_keepers(path)}
     for path, config in checked.items():
         site, fleet = config.site, config.fleet
         counts = {
--- a/walnutpost/config/__init__.py
+++ b/walnutpost/config/__init__.py
@@ -1,6 +1,6 @@
 """Configuration: JSON5 files, checked into typed objects."""
 
-from walnutpost.config.load import ConfigError, load, parse
+from walnutpost.config.load import ConfigError, keys_of, load, parse
 from walnutpost.config.model import Config, Fleet, Front, Site, StandIn, WorkerLine, WorkerList
 from walnutpost.config.settings import catalogue, own_schedules, router_settings, schedules, worker_lines
 
@@ -14,6 +14,7 @@
     "WorkerLine",
     "WorkerList",
     "catalogue",
+    "keys_of",
     "load",
     "own_schedules",
     "parse",
--- a/walnutpost/config/load.py
+++ b/walnutpost/config/load.py
@@ -31,6 +31,15 @@
     return parse(text, str(path), model)
 
 
+def keys_of(path: Path) -> set[str]:
+    """What stands at the top of a file; nothing where it can't be read, which `load` says."""
+    try:
+        told = _read(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError, RecursionError):
+        return set()
+    return {str(key) for key in told} if isinstance(told, dict) else set()
+
+
 def parse(text: str, source: str, model: type[M]) -> M:
     """`source` is named in errors."""
     try:
