--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,157 @@
+"""Keepers and agents as processes: a release, one that does not start, and an agent killed with a permit."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+
+from tests.test_keeper import NAMES, Keepers
+from walnutpost.agent import version_of
+from walnutpost.fleet import FRONT_END, Budget, Judge, Keep, SetBudgets, Start, State
+from walnutpost.loop import Loop
+
+MEMBERS = ("f0", "f1", "f2", "f3")
+CHILD = """
+import json, os, signal, sys, time
+told = json.load(open(sys.argv[1]))
+if told["version"] in told.get("bad", []): sys.exit("it does not start")
+signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
+print("listening", os.getpid(), told["version"], flush=True)
+for _ in range(600): time.sleep(0.1)
+"""
+V1, V2 = b'{"version": "v1"}', b'{"version": "v2"}'
+BAD = b'{"version": "v3", "bad": ["v3"]}'
+
+
+class Agents:
+    """Four agents in two zones, each a process with a process of its own; and who is really up."""
+
+    def __init__(self, keepers: Keepers) -> None:
+        self.keepers, self.folder = keepers, keepers.folder
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+        self.most_out = 0
+        (self.folder / "child.py").write_text(CHILD)
+        (self.folder / "v1").write_bytes(V1)
+        keepers.client().command("budget", SetBudgets((Budget(FRONT_END, most=1),)))
+        for name in MEMBERS:
+            self.start(name)
+        self.until(lambda: len(self.up()) == 4 and len(self.state().members) == 4, watch=False)
+
+    def start(self, name: str) -> None:
+        command = [sys.executable, str(self.folder / "child.py"), "{config}"]
+        line = {"member": name, "zone": "ab"[int(name[1]) % 2], "command": command, "first": "v1"}
+        known = {n: w for n in NAMES if (w := self.keepers.where(n)) is not None}
+        lines = [{"name": n, "address": "{}:{}".format(*known.get(n, ("127.0.0.1", 1)))} for n in NAMES]
+        config = self.folder / f"{name}.json"
+        config.write_text(json.dumps({"keepers": lines, "agents": [line], "lease_ms": 60_000}))
+        with (self.folder / f"{name}.log").open("wb") as out:
+            run = [sys.executable, "-m", "walnutpost.cli", "agent", str(config), "--member", name]
+            self.running[name] = subprocess.Popen(run, stdout=out, stderr=out)
+
+    def child(self, name: str) -> tuple[int, str] | None:
+        """Its process and version, asked of the process itself."""
+        with suppress(OSError, ValueError, IndexError):
+            words = (self.folder / "agents" / f"{name}.out").read_text().split()
+            os.kill(int(words[1]), 0)
+            return int(words[1]), words[2]
+        return None
+
+    def up(self) -> dict[str, str]:
+        return {name: child[1] for name in MEMBERS if (child := self.child(name)) is not None}
+
+    def state(self) -> State:
+        return self.keepers.client().state()[1].state
+
+    def until(self, condition: Callable[[], object], watch: bool = True) -> None:
+        def looked() -> object:
+            if watch:
+                self.most_out = max(self.most_out, len(MEMBERS) - len(self.up()))
+            return condition()
+
+        self.keepers.until(looked)
+
+    def release(self, plan: str, content: bytes) -> None:
+        client = self.keepers.client()
+        client.command(f"keep-{plan}", Keep(version_of(content), content))
+        start = Start(plan, MEMBERS, version_of(content), (1.0,), version_of(V1))
+        assert client.command(f"start-{plan}", start).done
+
+    def close(self) -> None:
+        for process in self.running.values():
+            process.terminate()
+        for process in self.running.values():
+            process.wait()
+
+
+def play(folder: Path, script: Callable[[Keepers, Agents], None]) -> None:
+    loop, held, agents = Loop(), list[Keepers](), list[Agents]()
+
+    def body() -> None:
+        held.append(Keepers(loop, folder))
+        agents.append(Agents(held[0]))
+        script(held[0], agents[0])
+
+    try:
+        loop.run(body)
+    finally:
+        for all_agents in agents:
+            all_agents.close()
+        for keepers in held:
+            for process in keepers.running.values():
+                process.kill()
+                process.wait()
+
+
+def test_a_release_goes_on_over_a_killed_leader_and_never_has_two_out(tmp_path: Path) -> None:
+    def script(keepers: Keepers, agents: Agents) -> None:
+        agents.release("r", V2)
+        agents.until(lambda: "v2" in agents.up().values())
+        agents.until(lambda: len(agents.state().plans["r"].done) == 1)
+        assert list(agents.up().values()).count("v2") == 1, "the first one alone before a judgement"
+        assert keepers.client().command("j0", Judge("r", 0, True)).done
+        agents.until(lambda: agents.state().permits)
+        keepers.kill(keepers.leader())
+        agents.until(lambda: len(agents.state().plans["r"].done) == 4)
+        assert set(agents.up().values()) == {"v2"} and len(agents.up()) == 4
+        assert keepers.client().command("j1", Judge("r", 1, True)).done
+        assert agents.state().plans["r"].ended == "done" and agents.most_out == 1
+
+    play(tmp_path, script)
+
+
+def test_a_release_that_does_not_start_goes_back_and_touches_nobody_else(tmp_path: Path) -> None:
+    def script(keepers: Keepers, agents: Agents) -> None:
+        before = {name: agents.child(name) for name in MEMBERS}
+        agents.release("r", BAD)
+        agents.until(lambda: agents.state().plans["r"].ended)
+        assert "does not come up" in agents.state().plans["r"].ended
+        agents.until(lambda: set(agents.up().values()) == {"v1"} and len(agents.up()) == 4)
+        assert sum(agents.child(name) != before[name] for name in MEMBERS) == 1 and agents.most_out == 1
+
+    play(tmp_path, script)
+
+
+def test_an_agent_killed_with_a_permit_keeps_the_place_out_until_it_is_back(tmp_path: Path) -> None:
+    def script(keepers: Keepers, agents: Agents) -> None:
+        agents.release("r", V2)
+        agents.until(lambda: agents.state().permits)
+        (permit,) = agents.state().permits.values()
+        name = permit.member
+        agents.running[name].kill()
+        agents.running[name].wait()
+        child = agents.child(name)
+        if child is not None:
+            os.kill(child[0], 9)
+        keepers.loop.sleep(2_000_000)
+        if agents.state().permits:  # else it was done in time
+            assert [p.member for p in agents.state().permits.values()] == [name]
+        agents.start(name)
+        agents.until(lambda: agents.state().plans["r"].done == [name])
+        assert agents.most_out <= 1 and not agents.state().permits
+
+    play(tmp_path, script)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -16,6 +16,7 @@
     "standins",
     "node",
     "daemon",
+    "agent",
     "keeper",
     "fronts",
     "config",
--- /dev/null
+++ b/walnutpost/agent/process.py
@@ -0,0 +1,259 @@
+"""One agent: a child process, its versions on disk, the keepers it asks. `fleet.steward` decides."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import secrets
+import subprocess
+from collections import deque
+from collections.abc import Mapping, Sequence
+from contextlib import suppress
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from walnutpost.fleet import Command, Fleet, Keep
+from walnutpost.fleet.steward import (
+    Answered,
+    Due,
+    Effect,
+    Ended,
+    EndIt,
+    Input,
+    Launch,
+    Note,
+    Ready,
+    Request,
+    Saw,
+    Steward,
+    Tell,
+    Terms,
+)
+from walnutpost.keeper import KeeperClient, NoAnswer
+from walnutpost.loop import Event, Loop
+
+LOOK_EVERY, POLL_EVERY = 500_000, 50_000
+KILL_AFTER = 10_000_000  # from the request to end
+
+
+class AgentError(Exception):
+    """Its folder can't be used, or holds another agent's."""
+
+
+def version_of(content: bytes) -> str:
+    """A version's name is its content's digest: the same content is the same version everywhere."""
+    return hashlib.sha256(content).hexdigest()[:16]
+
+
+class Agent:
+    """`command` starts the process, `{config}` in it standing for the version's file; it is ready once
+    `ready` stands in its output. `first` is the version of a folder that holds none yet."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        member: str,
+        kind: str,
+        zone: str,
+        command: Sequence[str],
+        ready: str,
+        first: bytes,
+        folder: Path,
+        keepers: Mapping[str, tuple[str, int]],
+        terms: Terms,
+        report_every: int,
+        log: Any,
+        patience: int = 5_000_000,
+    ) -> None:
+        self._loop, self._member, self._log = loop, member, log
+        self._command, self._ready_text = list(command), ready.encode()
+        self._folder, self._report_every = folder, report_every
+        self._random = Random(secrets.randbits(63))
+        self._names = list(keepers)
+        self._client = KeeperClient(loop, keepers, patience, patience // 2)
+        known = self._remembered(first)
+        self.steward = Steward(
+            known["agent"], member, kind, zone, known["current"], terms, self._random.getrandbits(63)
+        )
+        self.steward.previous = known["previous"]
+        self._written = dict(known)
+        self._child: subprocess.Popen[bytes] | None = None
+        self._incarnation = ""
+        self._ready_told = False
+        self._output = folder / f"{member}.out"
+        self._to_tell: deque[tuple[str, Command]] = deque()
+        self._some = Event(loop)
+        self.ended = False
+        current = (folder / "versions" / self.steward.current).read_bytes()
+        keep = Keep(self.steward.current, current)  # so that the fleet can go back to it
+        self._to_tell.append((f"keep-{keep.version}", keep))
+        self._some.set()
+        self._tasks = [
+            loop.spawn(work, name=work.__name__) for work in (self._watch, self._tell, self._report)
+        ]
+        self._carry_out(self.steward.start(loop.now()))
+        self._poll()
+
+    # What it holds on disk
+
+    def _remembered(self, first: bytes) -> dict[str, str]:
+        """The agent's own name, which outlives its restarts, and the versions it has."""
+        try:
+            (self._folder / "versions").mkdir(parents=True, exist_ok=True)
+            path = self._folder / f"{self._member}.json"
+            if path.exists():
+                told: dict[str, str] = json.loads(path.read_text())
+                return told
+            version = self._kept(first)
+            known = {
+                "agent": f"{self._member}@{secrets.token_hex(4)}",
+                "current": version,
+                "previous": "",
+            }
+            self._replace(path, json.dumps(known).encode())
+            return known
+        except (OSError, ValueError) as error:
+            raise AgentError(f"{self._folder}: {error}") from error
+
+    def _kept(self, content: bytes) -> str:
+        version = version_of(content)
+        path = self._folder / "versions" / version
+        if not path.exists():
+            self._replace(path, content)
+        return version
+
+    @staticmethod
+    def _replace(path: Path, data: bytes) -> None:
+        """Whole or not at all, also where the machine goes down."""
+        new = path.with_name(path.name + ".new")
+        with new.open("wb") as out:
+            out.write(data)
+            out.flush()
+            os.fsync(out.fileno())
+        new.replace(path)
+
+    def _remember(self) -> None:
+        now = {**self._written, "current": self.steward.current, "previous": self.steward.previous}
+        if now != self._written:
+            self._replace(self._folder / f"{self._member}.json", json.dumps(now).encode())
+            self._written = now
+
+    # The steward
+
+    def _feed(self, event: Input) -> None:
+        if not self.ended:
+            self._carry_out(self.steward.handle(self._loop.now(), event))
+            self._remember()
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Launch(version):
+                    self._launch(version)
+                case EndIt():
+                    self._end()
+                case Tell(command):
+                    self._to_tell.append((f"{self.steward.agent}-{secrets.token_hex(6)}", command))
+                    self._some.set()
+                case Request(command):
+                    self._loop.spawn(self._ask, command, name="ask")
+                case Note(text):
+                    self._log.info("agent", member=self._member, text=text)
+
+    def _ask(self, command: Command) -> None:
+        """The same id until there is an answer: the question may have been granted though none came."""
+        id = f"{self.steward.agent}-{secrets.token_hex(6)}"
+        while not self.ended:
+            try:
+                answer = self._client.command(id, command)
+            except NoAnswer:
+                continue
+            self._log.info("asked", member=self._member, permit=answer.permit, why=answer.why)
+            return self._feed(Answered(answer.permit, answer.why))
+
+    def _tell(self) -> None:
+        while True:
+            self._some.wait()
+            self._some = Event(self._loop)
+            while self._to_tell:
+                id, command = self._to_tell[0]
+                try:
+                    answer = self._client.command(id, command)
+                except NoAnswer:
+                    continue
+                self._to_tell.popleft()
+                self._log.info("told", member=self._member, command=type(command).__name__, why=answer.why)
+
+    def _watch(self) -> None:
+        """Looks at what any keeper holds: a question is answered by the leader, who knows better."""
+        while True:
+            with suppress(NoAnswer):
+                fleet = Fleet.restore(self._client.here(self._random.choice(self._names)).state)
+                if not self._to_tell:  # else it may still show what has just changed
+                    for version in {p.version for p in fleet.state.plans.values() if p.version}:
+                        if version in fleet.state.versions:
+                            self._kept(fleet.state.versions[version])
+                    self._feed(Saw(fleet.state))
+            self._loop.sleep(LOOK_EVERY + self._random.randrange(LOOK_EVERY))
+
+    def _report(self) -> None:
+        while True:
+            if self._ready_told:
+                with suppress(NoAnswer):
+                    self._client.report(self._member, self._incarnation)
+            self._loop.sleep(self._report_every)
+
+    # The process
+
+    def _launch(self, version: str) -> None:
+        config = str(self._folder / "versions" / version)
+        command = [part.replace("{config}", config) for part in self._command]
+        self._incarnation, self._ready_told = secrets.token_hex(6), False
+        self._log.info("launch", member=self._member, version=version)
+        try:
+            with self._output.open("wb") as out:
+                self._child = subprocess.Popen(command, stdout=out, stderr=out, stdin=subprocess.DEVNULL)
+        except OSError as error:
+            self._log.error("launch failed", member=self._member, why=str(error))
+            self._child = None
+            self._loop.call_soon(lambda: self._feed(Ended()))
+
+    def _end(self) -> None:
+        child = self._child
+        if child is None:
+            return
+        child.terminate()
+
+        def kill() -> None:
+            if self._child is child and child.poll() is None:
+                child.kill()
+
+        self._loop.call_later(KILL_AFTER, kill)
+
+    def _poll(self) -> None:
+        child = self._child
+        if child is not None and child.poll() is not None:
+            self._child, self._ready_told = None, False
+            self._feed(Ended())
+        elif child is not None and not self._ready_told:
+            with suppress(OSError):
+                if self._ready_text in self._output.read_bytes():
+                    self._ready_told = True
+                    self._feed(Ready(self._incarnation))
+        if self.steward.due is not None and self._loop.now() >= self.steward.due:
+            self._feed(Due())
+        if not self.ended:
+            self._loop.call_later(POLL_EVERY, self._poll)
+
+    def stop(self) -> None:
+        """Ends the process with it; waits until it is gone."""
+        self.ended = True
+        for task in self._tasks:
+            task.cancel()
+        child = self._child
+        if child is not None:
+            self._end()
+            while child.poll() is None:
+                self._loop.sleep(POLL_EVERY)
--- a/walnutpost/cli/keepers.py
+++ b/walnutpost/cli/keepers.py
@@ -4,12 +4,14 @@
 
 import json
 import secrets
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NoReturn, TypeVar
 
 import click
 
+from walnutpost.agent import Agent, AgentError, version_of
 from walnutpost.agreement import Members, Timing
 from walnutpost.cli.configs import CONFIG, end
 from walnutpost.cli.run import make_loop, stop_event
@@ -17,8 +19,9 @@
 from walnutpost.config.keepers import Keepers
 from walnutpost.config.model import address_of
 from walnutpost.config.settings import us
-from walnutpost.fleet import Answer, Command, Fleet, Halt, Remove, Resume
+from walnutpost.fleet import FRONT_END, Answer, Command, Fleet, Halt, Judge, Keep, Remove, Resume, Start
 from walnutpost.fleet import budgets as rules
+from walnutpost.fleet.steward import Terms
 from walnutpost.keeper import Keeper, KeeperClient, KeeperError, NoAnswer
 from walnutpost.keeper.wire import View
 from walnutpost.loop import Loop
@@ -95,6 +98,43 @@
         end(f"keeper {name}: its disk failed: {broken[0]}", code=1)
 
 
+@click.command()
+@CONFIG
+@click.option("--member", required=True, help="Which of CONFIG's agents.")
+@click.pass_obj
+def agent(log: Any, config: Path, member: str) -> None:
+    """Run one process of the fleet and take it from version to version as agreed."""
+    checked = keepers_of(config)
+    lines = {line.member: line for line in checked.agents}
+    if member not in lines:
+        end(f"--member: found {member!r}; wanted one of {', '.join(lines) or 'none, there are no agents'}")
+    line, loop = lines[member], make_loop(log)
+
+    def run() -> None:
+        stop = stop_event(loop, log)
+        kept = Agent(
+            loop,
+            member,
+            line.kind,
+            line.zone,
+            line.command,
+            line.ready,
+            (config.parent / line.first).read_bytes(),
+            config.parent / "agents",
+            {k.name: address_of(k.address) for k in checked.keepers},
+            Terms(us(checked.begin_within_ms), us(line.ready_within_ms)),
+            us(checked.lease_ms) // 4,
+            log,
+        )
+        stop.wait()
+        kept.stop()
+
+    try:
+        loop.run(run)
+    except (AgentError, OSError) as error:
+        end(f"{config}: agent {member}: {error}")
+
+
 @click.group()
 def fleet() -> None:
     """What the fleet has agreed on: who is out, what plans wait for, halts."""
@@ -217,6 +257,63 @@
     _do(log, config, id, Remove(permit, operator))
 
 
+@fleet.command()
+@CONFIG
+@click.argument("content", type=click.Path(path_type=Path))
+@click.option("--steps", default="0.25,1", show_default=True, help="Shares of the members, rising to 1.")
+@click.option("--back/--no-back", default=True, help="On a bad judgement go back to what most run now.")
+@click.option("--plan", help="The plan's name; made up without it.")
+@click.pass_obj
+def release(log: Any, config: Path, content: Path, steps: str, back: bool, plan: str | None) -> None:
+    """Bring all front ends to the version in the file CONTENT, one first, then by steps."""
+    try:
+        data, shares = content.read_bytes(), tuple(float(share) for share in steps.split(","))
+    except OSError as error:
+        end(f"{content}: cannot be read: {error.strerror}")
+    except ValueError:
+        end(f"--steps: found {steps!r}; wanted shares that rise to 1, as 0.25,1")
+    name = plan or f"release-{secrets.token_hex(3)}"
+    version = version_of(data)
+
+    def work(client: KeeperClient) -> Answer:
+        _, agreed = client.state()
+        members = {n: m for n, m in agreed.state.members.items() if m.kind == FRONT_END}
+        usual = Counter(m.version for m in members.values()).most_common(1)
+        before = usual[0][0] if usual and back and usual[0][0] in agreed.state.versions else ""
+        client.command(f"{name}-keep", Keep(version, data))
+        return client.command(f"{name}-start", Start(name, tuple(members), version, shares, before))
+
+    answer = _with(config, log, work)
+    click.echo(f"plan {name}: version {version}")
+    _told(answer)
+
+
+@fleet.command()
+@CONFIG
+@click.argument("members", nargs=-1, required=True)
+@click.option("--plan", help="The plan's name; made up without it.")
+@click.pass_obj
+def cycle(log: Any, config: Path, members: tuple[str, ...], plan: str | None) -> None:
+    """Take MEMBERS out and back in with what they run, within the budgets."""
+    name = plan or f"cycle-{secrets.token_hex(3)}"
+    _told(_with(config, log, lambda client: client.command(f"{name}-start", Start(name, members))))
+
+
+@fleet.command()
+@CONFIG
+@click.argument("plan")
+@click.argument("verdict", type=click.Choice(["good", "bad"]))
+@click.option("--why", default="")
+@ID
+@click.pass_obj
+def judge(log: Any, config: Path, plan: str, verdict: str, why: str, id: str | None) -> None:
+    """Say how the present step of PLAN has gone; bad halts it and goes back where it says so."""
+    state = _with(config, log, lambda client: client.state())[1].state
+    if plan not in state.plans:
+        end(f"no plan {plan}; there are {', '.join(state.plans) or 'none'}", code=1)
+    _do(log, config, id, Judge(plan, state.plans[plan].step, verdict == "good", why))
+
+
 @fleet.command("keepers")
 @CONFIG
 @click.option("--voter", "voters", multiple=True, help="By the name of its disk; all of them to be.")
--- a/walnutpost/cli/main.py
+++ b/walnutpost/cli/main.py
@@ -14,7 +14,7 @@
 
 from walnutpost.cli import logs, run
 from walnutpost.cli.configs import CONFIG, config_of, end
-from walnutpost.cli.keepers import fleet, is_keepers, keeper, keepers_of
+from walnutpost.cli.keepers import agent, fleet, is_keepers, keeper, keepers_of
 from walnutpost.cli.keys import keys
 from walnutpost.cli.times import local, upcoming
 from walnutpost.cli.usage import usage
@@ -144,6 +144,7 @@
 main.add_command(usage)
 main.add_command(keys)
 main.add_command(keeper)
+main.add_command(agent)
 main.add_command(fleet)
 
 
--- a/walnutpost/config/keepers.py
+++ b/walnutpost/config/keepers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 from pydantic import Field, StringConstraints, field_validator, model_validator
 
@@ -26,11 +26,25 @@
         return value
 
 
+class AgentLine(Strict):
+    """One process of the fleet. `command` starts it, `{config}` standing for its version's file; it is ready
+    once `ready` stands in its output. `first`: the file of its version until one is released."""
+
+    member: KeeperName
+    kind: Literal["front_end", "worker"] = "front_end"
+    zone: KeeperName = "all"
+    command: list[str] = Field(min_length=1)
+    ready: str = Field("listening", min_length=1)
+    first: str
+    ready_within_ms: Ms = 30_000
+
+
 class Keepers(Strict):
     """`lease_ms`: a member not heard of for so long is out. `begin_within_ms`: in which the holder of a
     permit may begin, from when it asked; a halt has taken effect after it."""
 
     keepers: list[KeeperLine] = Field(min_length=1, max_length=9)
+    agents: list[AgentLine] = Field(default_factory=list)
     folder: str = "keepers"
     election_ms: Ms = 1000
     heartbeat_ms: Ms = 150
--- a/walnutpost/fleet/commands.py
+++ b/walnutpost/fleet/commands.py
@@ -90,12 +90,14 @@
 
 
 class Back(Record, frozen=True, tag=True):
-    """The member is up and ready again as this incarnation: the place is in."""
+    """The member is up and ready again as this incarnation: the place is in. `failed`: why the version that
+    its plan wants is not the one that runs; empty where the plan may simply ask again."""
 
     permit: str
     holder: str
     incarnation: str
     version: str = ""
+    failed: str = ""
 
 
 class Remove(Record, frozen=True, tag=True):
--- a/walnutpost/fleet/machine.py
+++ b/walnutpost/fleet/machine.py
@@ -201,8 +201,8 @@
             if not plan.version or plan.version == back.version:
                 plan.done.append(held.member)
                 self._look(plan)
-            else:
-                self._bad(plan, f"{held.member} came back with {back.version or 'nothing'} instead")
+            elif back.failed:
+                self._bad(plan, f"{held.member}: {back.failed}")
         return self._yes()
 
     # Plans
