--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -12,7 +12,8 @@
 
 from tests.test_keeper import NAMES, Keepers
 from walnutpost.agent import version_of
-from walnutpost.fleet import FRONT_END, Budget, Judge, Keep, SetBudgets, Start, State
+from walnutpost.agent.process import process_began
+from walnutpost.fleet import FRONT_END, Budget, SetBudgets, State
 from walnutpost.loop import Loop
 
 MEMBERS = ("f0", "f1", "f2", "f3")
@@ -76,10 +77,17 @@
         self.keepers.until(looked)
 
     def release(self, plan: str, content: bytes) -> None:
-        client = self.keepers.client()
-        client.command(f"keep-{plan}", Keep(version_of(content), content))
-        start = Start(plan, MEMBERS, version_of(content), (1.0,), version_of(V1))
-        assert client.command(f"start-{plan}", start).done
+        file = self.folder / "next"
+        file.write_bytes(content)
+        told = self.operator("release", str(file), "--steps", "1", "--plan", plan)
+        assert f"plan {plan}: version {version_of(content)}" in told
+
+    def operator(self, command: str, *words: str) -> str:
+        """What `walnutpost fleet` prints, asked beside the relays."""
+        run = [sys.executable, "-m", "walnutpost.cli", "fleet", command, str(self.folder / "f0.json"), *words]
+        done = self.keepers.loop.blocking(lambda: subprocess.run(run, capture_output=True, text=True))
+        assert done.returncode == 0, done.stderr
+        return done.stdout
 
     def close(self) -> None:
         for process in self.running.values():
@@ -113,12 +121,14 @@
         agents.until(lambda: "v2" in agents.up().values())
         agents.until(lambda: len(agents.state().plans["r"].done) == 1)
         assert list(agents.up().values()).count("v2") == 1, "the first one alone before a judgement"
-        assert keepers.client().command("j0", Judge("r", 0, True)).done
+        agents.operator("judge", "r", "good")
         agents.until(lambda: agents.state().permits)
         keepers.kill(keepers.leader())
         agents.until(lambda: len(agents.state().plans["r"].done) == 4)
         assert set(agents.up().values()) == {"v2"} and len(agents.up()) == 4
-        assert keepers.client().command("j1", Judge("r", 1, True)).done
+        agents.operator("judge", "r", "good")
+        told = json.loads(agents.operator("status", "--format", "json"))
+        assert told["plans"]["r"]["ended"] == "done" and told["budgets"] == ["0 of 1 front_ends are out"]
         assert agents.state().plans["r"].ended == "done" and agents.most_out == 1
 
     play(tmp_path, script)
@@ -144,14 +154,13 @@
         name = permit.member
         agents.running[name].kill()
         agents.running[name].wait()
-        child = agents.child(name)
-        if child is not None:
-            os.kill(child[0], 9)
+        left = agents.child(name)
         keepers.loop.sleep(2_000_000)
         if agents.state().permits:  # else it was done in time
             assert [p.member for p in agents.state().permits.values()] == [name]
         agents.start(name)
         agents.until(lambda: agents.state().plans["r"].done == [name])
         assert agents.most_out <= 1 and not agents.state().permits
+        assert left is None or process_began(left[0]) is None, "what it left behind has ended"
 
     play(tmp_path, script)
--- a/walnutpost/agent/process.py
+++ b/walnutpost/agent/process.py
@@ -6,6 +6,7 @@
 import json
 import os
 import secrets
+import signal
 import subprocess
 from collections import deque
 from collections.abc import Mapping, Sequence
@@ -47,6 +48,15 @@
     return hashlib.sha256(content).hexdigest()[:16]
 
 
+def process_began(pid: int) -> int | None:
+    """When the process began, in the kernel's ticks; None where there is none, or a dead one."""
+    try:
+        words = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    except OSError:
+        return None
+    return None if words[0] == "Z" else int(words[19])
+
+
 class Agent:
     """`command` starts the process, `{config}` in it standing for the version's file; it is ready once
     `ready` stands in its output. `first` is the version of a folder that holds none yet."""
@@ -82,7 +92,7 @@
         self._child: subprocess.Popen[bytes] | None = None
         self._incarnation = ""
         self._ready_told = False
-        self._output = folder / f"{member}.out"
+        self._output, self._mark = folder / f"{member}.out", folder / f"{member}.pid"
         self._to_tell: deque[tuple[str, Command]] = deque()
         self._some = Event(loop)
         self.ended = False
@@ -93,9 +103,26 @@
         self._tasks = [
             loop.spawn(work, name=work.__name__) for work in (self._watch, self._tell, self._report)
         ]
+        self._end_left_over()
         self._carry_out(self.steward.start(loop.now()))
         self._poll()
 
+    def _end_left_over(self) -> None:
+        """An agent that was killed leaves its process behind: it ends before another takes its place."""
+        try:
+            pid, began = map(int, self._mark.read_text().split())
+        except (OSError, ValueError):
+            return
+        wait = KILL_AFTER
+        while (
+            process_began(pid) == began
+        ):  # the same process, not another one that was given its number since
+            with suppress(ProcessLookupError):
+                os.kill(pid, signal.SIGTERM if wait > 0 else signal.SIGKILL)
+            self._log.info("left over", member=self._member, pid=pid)
+            wait -= LOOK_EVERY
+            self._loop.sleep(LOOK_EVERY)
+
     # What it holds on disk
 
     def _remembered(self, first: bytes) -> dict[str, str]:
@@ -215,6 +242,7 @@
         try:
             with self._output.open("wb") as out:
                 self._child = subprocess.Popen(command, stdout=out, stderr=out, stdin=subprocess.DEVNULL)
+            self._replace(self._mark, f"{self._child.pid} {process_began(self._child.pid)}".encode())
         except OSError as error:
             self._log.error("launch failed", member=self._member, why=str(error))
             self._child = None
--- a/walnutpost/fleet/budgets.py
+++ b/walnutpost/fleet/budgets.py
@@ -22,7 +22,8 @@
     @property
     def told(self) -> str:
         where = f" in {self.zone}" if self.zone else ""
-        return f"{len(self.out)} of {self.allowed} {self.budget.kind}s{where} are out: {', '.join(self.out)}"
+        names = f": {', '.join(self.out)}" if self.out else ""
+        return f"{len(self.out)} of {self.allowed} {self.budget.kind}s{where} are out{names}"
 
 
 def out(members: Mapping[str, Member], permits: Iterable[Permit]) -> set[str]:
