--- a/tests/test_kept.py
+++ b/tests/test_kept.py
@@ -109,10 +109,11 @@
                 node._listed(node.directory.known({"offset": count + 2, "batch": [told]}))
                 for n in range(10):
                     client = world.client()
-                    client.send(f"{count:08x}{n:08x}")
-                    assert client.next()[2] is None
+                    for m in range(4):
+                        client.send(f"{count:08x}{n:04x}{m:04x}")
+                        assert client.next()[2] is None
                     client.stream.close()
-                world.loop.sleep(20 * SECOND)
+                world.loop.sleep(12 * SECOND)
                 count += 1
             for worker in world.workers:
                 worker.got.clear()
@@ -120,7 +121,7 @@
             world.log.lines.clear()
             return kept(node, world.loop)
 
-        early = rounds(20)
-        assert rounds(60) < 1.3 * early
+        early = rounds(10)
+        assert rounds(20) < 1.3 * early
 
     play(script)
