Agents that keep the same version at the same time no longer take each other's file away

Seen: one of four runs of make check, test_an_agent_killed_with_a_permit: three members instead of four. Ruled out: load (five runs side by side passed). At fault: Agent._replace, one name for all agents' half-written files. Each has its own now; a test holds the old name.

--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from tests.test_keeper import NAMES, Keepers
-from walnutpost.agent import version_of
+from walnutpost.agent import Agent, version_of
 from walnutpost.agent.process import process_began
 from walnutpost.fleet import FRONT_END, Budget, SetBudgets, State
 from walnutpost.loop import Loop
@@ -164,3 +164,10 @@
         assert left is None or process_began(left[0]) is None, "what it left behind has ended"
 
     play(tmp_path, script)
+
+
+def test_a_version_that_another_agent_is_just_keeping_is_kept_all_the_same(tmp_path: Path) -> None:
+    """Four agents kept their first version at once; one found its half-written file gone, and ended."""
+    (tmp_path / "version.new").mkdir()  # stands for what another has in hand
+    Agent._replace(tmp_path / "version", b"content")
+    assert (tmp_path / "version").read_bytes() == b"content"
--- a/walnutpost/agent/process.py
+++ b/walnutpost/agent/process.py
@@ -153,8 +153,9 @@
 
     @staticmethod
     def _replace(path: Path, data: bytes) -> None:
-        """Whole or not at all, also where the machine goes down."""
-        new = path.with_name(path.name + ".new")
+        """Whole or not at all, also where the machine goes down. Agents share the folder of versions, and may
+        keep the same one at the same time: each has a file of its own until then."""
+        new = path.with_name(f"{path.name}.{secrets.token_hex(4)}.new")
         with new.open("wb") as out:
             out.write(data)
             out.flush()
