--- a/walnutpost/agent/process.py
+++ b/walnutpost/agent/process.py
@@ -5,9 +5,11 @@
 import hashlib
 import json
 import os
+import re
 import secrets
 import signal
 import subprocess
+import time
 from collections import deque
 from collections.abc import Mapping, Sequence
 from contextlib import suppress
@@ -18,6 +20,7 @@
 from walnutpost.fleet import Command, Fleet, Keep
 from walnutpost.fleet.steward import (
     Answered,
+    ByHand,
     Due,
     Effect,
     Ended,
@@ -33,10 +36,13 @@
     Terms,
 )
 from walnutpost.keeper import KeeperClient, NoAnswer
+from walnutpost.keeper.wire import Report
 from walnutpost.loop import Event, Loop
 
 LOOK_EVERY, POLL_EVERY = 500_000, 50_000
 KILL_AFTER = 10_000_000  # from the request to end
+INCARNATION = "WALNUTPOST_INCARNATION"  # where a process finds what its agent has told the keepers of it
+ADDRESS = re.compile(rb"address\W+(\d+\.\d+\.\d+\.\d+:\d+)")
 
 
 class AgentError(Exception):
@@ -48,6 +54,11 @@
     return hashlib.sha256(content).hexdigest()[:16]
 
 
+def order_path(folder: Path, member: str) -> Path:
+    """Where an operator leaves what the agent is to do without a quorum."""
+    return folder / f"{member}.by-hand"
+
+
 def process_began(pid: int) -> int | None:
     """When the process began, in the kernel's ticks; None where there is none, or a dead one."""
     try:
@@ -76,6 +87,7 @@
         report_every: int,
         log: Any,
         patience: int = 5_000_000,
+        follows: bool = False,
     ) -> None:
         self._loop, self._member, self._log = loop, member, log
         self._command, self._ready_text = list(command), ready.encode()
@@ -85,7 +97,15 @@
         self._client = KeeperClient(loop, keepers, patience, patience // 2)
         known = self._remembered(first)
         self.steward = Steward(
-            known["agent"], member, kind, zone, known["current"], terms, self._random.getrandbits(63)
+            known["agent"],
+            member,
+            kind,
+            zone,
+            known["current"],
+            terms,
+            self._random.getrandbits(63),
+            follows,
+            known.get("held", ""),
         )
         self.steward.previous = known["previous"]
         self._written = dict(known)
@@ -106,6 +126,7 @@
         self._end_left_over()
         self._carry_out(self.steward.start(loop.now()))
         self._poll()
+        self._look_for_orders()
 
     def _end_left_over(self) -> None:
         """An agent that was killed leaves its process behind: it ends before another takes its place."""
@@ -163,7 +184,13 @@
         new.replace(path)
 
     def _remember(self) -> None:
-        now = {**self._written, "current": self.steward.current, "previous": self.steward.previous}
+        steward = self.steward
+        now = {
+            **self._written,
+            "current": steward.current,
+            "previous": steward.previous,
+            "held": steward.held,
+        }
         if now != self._written:
             self._replace(self._folder / f"{self._member}.json", json.dumps(now).encode())
             self._written = now
@@ -230,9 +257,30 @@
         while True:
             if self._ready_told:
                 with suppress(NoAnswer):
-                    self._client.report(self._member, self._incarnation)
+                    self._client.report(Report(self._member, self._incarnation))
             self._loop.sleep(self._report_every)
 
+    # By hand
+
+    def _look_for_orders(self) -> None:
+        """An operator's order without a quorum lies beside the agent's own file; it is taken up once."""
+        path = order_path(self._folder, self._member)
+        try:
+            told = json.loads(path.read_text())
+            path.unlink()
+            version = str(told["version"])
+            if version and not (self._folder / "versions" / version).exists():
+                raise ValueError(f"version {version} is not on this disk")
+            order = ByHand(str(told["operator"]), str(told["why"]), time.time(), version)
+            self._log.warning("by hand", member=self._member, operator=order.operator, why=order.why)
+            self._feed(order)
+        except FileNotFoundError:
+            pass
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            self._log.error("order by hand", member=self._member, why=f"{path}: {error}")
+        if not self.ended:
+            self._loop.call_later(LOOK_EVERY, self._look_for_orders)
+
     # The process
 
     def _launch(self, version: str) -> None:
@@ -242,7 +290,14 @@
         self._log.info("launch", member=self._member, version=version)
         try:
             with self._output.open("wb") as out:
-                self._child = subprocess.Popen(command, stdout=out, stderr=out, stdin=subprocess.DEVNULL)
+                self._child = subprocess.Popen(
+                    command,
+                    stdout=out,
+                    stderr=out,
+                    stdin=subprocess.DEVNULL,
+                    env={**os.environ, INCARNATION: self._incarnation},
+                )
+            self._began = time.time()
             self._replace(self._mark, f"{self._child.pid} {process_began(self._child.pid)}".encode())
         except OSError as error:
             self._log.error("launch failed", member=self._member, why=str(error))
@@ -268,9 +323,13 @@
             self._feed(Ended())
         elif child is not None and not self._ready_told:
             with suppress(OSError):
-                if self._ready_text in self._output.read_bytes():
+                output = self._output.read_bytes()
+                if self._ready_text in output:
                     self._ready_told = True
-                    self._feed(Ready(self._incarnation))
+                    said = ADDRESS.search(output)
+                    self._feed(
+                        Ready(self._incarnation, said[1].decode() if said is not None else "", self._began)
+                    )
         if self.steward.due is not None and self._loop.now() >= self.steward.due:
             self._feed(Due())
         if not self.ended:
--- a/walnutpost/cli/keepers.py
+++ b/walnutpost/cli/keepers.py
@@ -4,14 +4,16 @@
 
 import json
 import secrets
+import time
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NoReturn, TypeVar
 
 import click
+from msgspec import to_builtins
 
-from walnutpost.agent import Agent, AgentError, version_of
+from walnutpost.agent import Agent, AgentError, order_path, version_of
 from walnutpost.agreement import Members, Timing
 from walnutpost.cli.configs import CONFIG, end
 from walnutpost.cli.run import make_loop, stop_event
@@ -19,16 +21,35 @@
 from walnutpost.config.keepers import Keepers
 from walnutpost.config.model import address_of
 from walnutpost.config.settings import us
-from walnutpost.fleet import FRONT_END, Answer, Command, Fleet, Halt, Judge, Keep, Remove, Resume, Start
+from walnutpost.fleet import (
+    FRONT_END,
+    Answer,
+    Budget,
+    Command,
+    Fleet,
+    Forget,
+    Halt,
+    Judge,
+    Keep,
+    Plan,
+    Remove,
+    Resume,
+    Return,
+    SetBudgets,
+    Start,
+    State,
+)
+from walnutpost.fleet import Terms as Step
 from walnutpost.fleet import budgets as rules
 from walnutpost.fleet.steward import Terms
 from walnutpost.keeper import Keeper, KeeperClient, KeeperError, NoAnswer
-from walnutpost.keeper.wire import View
+from walnutpost.keeper.wire import History, View
 from walnutpost.loop import Loop
 from walnutpost.store import StoreError
 from walnutpost.trials.table import aligned
 
 T = TypeVar("T")
+AGENTS = "agents"  # beside the configuration: what agents of this machine hold on disk
 PATIENCE, EACH = 10_000_000, 3_000_000
 FORM = click.option("--format", "form", type=click.Choice(["table", "json"]), default="table")
 
@@ -84,6 +105,8 @@
             secrets.randbits(63),
             found,
             checked.log_most,
+            checked.history_most,
+            Step(checked.judge.calls, checked.judge.worse, checked.judge.sure),
             failed,
         )
         stop.wait()
@@ -120,11 +143,12 @@
             line.command,
             line.ready,
             (config.parent / line.first).read_bytes(),
-            config.parent / "agents",
+            config.parent / AGENTS,
             {k.name: address_of(k.address) for k in checked.keepers},
             Terms(us(checked.begin_within_ms), us(line.ready_within_ms)),
             us(checked.lease_ms) // 4,
             log,
+            follows=line.follows,
         )
         stop.wait()
         kept.stop()
@@ -175,8 +199,10 @@
     click.echo(f"halted: {told['halted']}" if told["halted"] else "not halted")
     for line in told["budgets"]:
         click.echo(line)
-    rows = [[o["member"], o["holder"], o["why"], o["permit"]] for o in told["out"]]
-    click.echo(aligned([["out", "by", "why", "permit"], *rows]) if rows else "nobody is out")
+    rows = [[o["member"], o["holder"], o["why"], o["waits"], o["permit"]] for o in told["out"]]
+    click.echo(aligned([["out", "by", "why", "waits for", "permit"], *rows]) if rows else "nobody is out")
+    for line in told["alone"]:
+        click.echo(f"without a quorum: {line}")
 
 
 def _status(view: View, agreed: Fleet) -> dict[str, Any]:
@@ -198,23 +224,139 @@
                 "member": name,
                 "holder": permits[name].holder if name in permits else "",
                 "why": permits[name].why if name in permits else "not heard of for a lease",
+                "waits": _out_waits(state, name),
                 "permit": permits[name].id if name in permits else "",
             }
             for name in sorted(rules.out(state.members, state.permits.values()))
         ],
-        "plans": {
-            p.id: {
-                "step": p.step,
-                "done": len(p.done),
-                "of": len(p.order),
-                "halted": p.halted,
-                "ended": p.ended,
-            }
-            for p in state.plans.values()
-        },
+        "plans": {p.id: _plan(view, state, p) for p in state.plans.values()},
+        "alone": [f"{a.member} by {a.operator}: {a.why} (to {a.version})" for a in state.alone],
+    }
+
+
+def _out_waits(state: State, name: str) -> str:
+    """What stands between a member that is out and its coming back."""
+    permit = next((p for p in state.permits.values() if p.member == name), None)
+    if permit is None:
+        return "a sign of life"
+    if not permit.began:
+        return "its holder to begin"
+    plan = state.plans.get(permit.plan)
+    if state.members[name].kind != FRONT_END and not permit.cleared:
+        return f"all front ends to act on {permit.at}"
+    return (
+        "an operator"
+        if plan is not None and plan.stay and not permit.returning
+        else "its process to be ready"
+    )
+
+
+def _plan(view: View, state: State, p: Plan) -> dict[str, Any]:
+    """A plan, and what it waits for."""
+    waits = ""
+    if not p.ended:
+        waits = p.halted or state.halted or view.waits.get(p.id, "")
+    if not waits and not p.ended:
+        open_now = [m for m in p.order[: p.reached()] if m not in p.done]
+        held = {q.member for q in state.permits.values() if q.plan == p.id}
+        waits = ", ".join(f"{m} ({_out_waits(state, m) if m in held else 'a permit'})" for m in open_now)
+    return {
+        "version": p.version,
+        "back": p.back,
+        "step": p.step,
+        "steps": p.steps,
+        "done": len(p.done),
+        "of": len(p.order),
+        "halted": p.halted,
+        "ended": p.ended,
+        "waits": waits or ("" if p.ended else "a judgement"),
     }
 
 
+@fleet.command("plan")
+@CONFIG
+@click.argument("name", required=False)
+@FORM
+@click.pass_obj
+def show_plan(log: Any, config: Path, name: str | None, form: str) -> None:
+    """The plans, or NAME alone: how far each is, and what it waits for."""
+    view, agreed = _with(config, log, lambda client: client.state())
+    plans = _status(view, agreed)["plans"]
+    if name is not None and name not in plans:
+        end(f"no plan {name}; there are {', '.join(plans) or 'none'}", code=1)
+    told = plans if name is None else {name: plans[name]}
+    if form == "json":
+        click.echo(json.dumps(told))
+        return
+    rows = [
+        [n, p["version"] or "drain", f"{p['step']}", f"{p['done']} of {p['of']}", p["ended"] or p["waits"]]
+        for n, p in told.items()
+    ]
+    click.echo(
+        aligned([["plan", "to", "step", "done", "ended, or waits for"], *rows]) if rows else "no plans"
+    )
+
+
+@fleet.command()
+@CONFIG
+@FORM
+@click.pass_obj
+def members(log: Any, config: Path, form: str) -> None:
+    """Every member: zone, version, whether it is in."""
+    view, agreed = _with(config, log, lambda client: client.state())
+    state = agreed.state
+    out = rules.out(state.members, state.permits.values())
+    told = [
+        {
+            "member": name,
+            "kind": m.kind,
+            "zone": m.zone,
+            "version": m.version,
+            "incarnation": m.incarnation,
+            "address": m.address,
+            "stands": "in"
+            if name not in out
+            else "silent"
+            if m.silent
+            else f"out: {_out_waits(state, name)}",
+        }
+        for name, m in sorted(state.members.items())
+    ]
+    if form == "json":
+        click.echo(json.dumps({"index": view.index, "members": told}))
+        return
+    heads = ("member", "kind", "zone", "version", "incarnation", "stands")
+    click.echo(aligned([list(heads), *[[str(m[h]) for h in heads] for m in told]]))
+
+
+@fleet.command()
+@CONFIG
+@click.option("--after", default=0, show_default=True, help="Only what follows this entry.")
+@click.option("--most", default=100, show_default=True, type=click.IntRange(1, 10_000))
+@FORM
+@click.pass_obj
+def history(log: Any, config: Path, after: int, most: int, form: str) -> None:
+    """What was agreed on, oldest first. Times are the askers' clocks, hints alone; the order is the index."""
+
+    def work(client: KeeperClient) -> tuple[str, History]:
+        view, _ = client.state()
+        return view.keeper, client.history(view.keeper, after, most)
+
+    keeper, told = _with(config, log, work)
+    if form == "json":
+        click.echo(json.dumps({"keeper": keeper, "first": told.first, "lines": to_builtins(told.lines)}))
+        return
+    if told.first > after + 1:
+        click.echo(f"entries before {told.first} are not kept by {keeper} any more", err=True)
+    rows = []
+    for line in told.lines:
+        when = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(line.at)) if line.at else ""
+        answer = line.answer
+        said = "" if answer is None else "yes" if answer.done else f"no: {answer.why}"
+        rows.append([str(line.index), when, line.what, line.told, said])
+    click.echo(aligned([["index", "asked at", "what", "told", "answer"], *rows]) if rows else "nothing")
+
+
 def _do(log: Any, config: Path, id: str | None, command: Command) -> None:
     """An `--id` that is given again after a time-out gets the answer of the first time."""
     known = id or secrets.token_hex(8)
@@ -257,12 +399,42 @@
     _do(log, config, id, Remove(permit, operator))
 
 
+def _plan_name(kind: str, told: str | None) -> str:
+    return told or f"{kind}-{secrets.token_hex(3)}"
+
+
+PLAN = click.option("--plan", help="The plan's name, to be given again after a time-out; made up without it.")
+ALONE = click.option(
+    "--alone", is_flag=True, help="No quorum answers: have the agents on this machine do it without a permit."
+)
+WHO = click.option("--operator", default="", help="With --alone: who answers for it.")
+WHY = click.option("--why", default="", help="With --alone: the reason, for the history.")
+
+
+def _by_hand(config: Path, names: tuple[str, ...], version: str, operator: str, why: str) -> None:
+    """Leaves an order with the agents of this machine; nobody counts who else is out."""
+    known = {line.member for line in keepers_of(config).agents}
+    wrong = [n for n in names if n not in known]
+    if not operator or not why or not names or wrong:
+        end(
+            "--alone wants --operator, --why and members of this file's agents"
+            + (f"; found {', '.join(wrong)}" if wrong else "")
+        )
+    click.echo("nobody has agreed to this: how many are out is not looked at", err=True)
+    for name in names:
+        path = order_path(config.parent / AGENTS, name)
+        new = path.with_suffix(".new")
+        new.write_text(json.dumps({"version": version, "operator": operator, "why": why}))
+        new.replace(path)
+        click.echo(f"{name}: left for its agent, which tells the keepers once they answer")
+
+
 @fleet.command()
 @CONFIG
 @click.argument("content", type=click.Path(path_type=Path))
 @click.option("--steps", default="0.25,1", show_default=True, help="Shares of the members, rising to 1.")
 @click.option("--back/--no-back", default=True, help="On a bad judgement go back to what most run now.")
-@click.option("--plan", help="The plan's name; made up without it.")
+@PLAN
 @click.pass_obj
 def release(log: Any, config: Path, content: Path, steps: str, back: bool, plan: str | None) -> None:
     """Bring all front ends to the version in the file CONTENT, one first, then by steps."""
@@ -272,7 +444,7 @@
         end(f"{content}: cannot be read: {error.strerror}")
     except ValueError:
         end(f"--steps: found {steps!r}; wanted shares that rise to 1, as 0.25,1")
-    name = plan or f"release-{secrets.token_hex(3)}"
+    name = _plan_name("release", plan)
     version = version_of(data)
 
     def work(client: KeeperClient) -> Answer:
@@ -288,17 +460,114 @@
     _told(answer)
 
 
+@fleet.command()
+@CONFIG
+@click.argument("names", nargs=-1)
+@click.option("--to", "version", required=True, help="A version that the keepers still hold.")
+@PLAN
+@ALONE
+@WHO
+@WHY
+@click.pass_obj
+def rollback(
+    log: Any,
+    config: Path,
+    names: tuple[str, ...],
+    version: str,
+    plan: str | None,
+    alone: bool,
+    operator: str,
+    why: str,
+) -> None:
+    """Take all front ends, or NAMES alone, to a version of before, in place of the plan under way."""
+    if alone:
+        return _by_hand(config, names, version, operator, why)
+    name = _plan_name("rollback", plan)
+
+    def work(client: KeeperClient) -> Answer:
+        state = client.state()[1].state
+        wanted = names or tuple(n for n, m in state.members.items() if m.kind == FRONT_END)
+        under_way = next((p.id for p in state.plans.values() if not p.ended and p.id != name), "")
+        start = Start(name, wanted, version, replaces=under_way, judged=False)
+        return client.command(f"{name}-start", start)
+
+    answer = _with(config, log, work)
+    click.echo(f"plan {name}")
+    _told(answer)
+
+
 @fleet.command()
 @CONFIG
 @click.argument("members", nargs=-1, required=True)
-@click.option("--plan", help="The plan's name; made up without it.")
+@PLAN
+@ALONE
+@WHO
+@WHY
 @click.pass_obj
-def cycle(log: Any, config: Path, members: tuple[str, ...], plan: str | None) -> None:
+def cycle(
+    log: Any, config: Path, members: tuple[str, ...], plan: str | None, alone: bool, operator: str, why: str
+) -> None:
     """Take MEMBERS out and back in with what they run, within the budgets."""
-    name = plan or f"cycle-{secrets.token_hex(3)}"
+    if alone:
+        return _by_hand(config, members, "", operator, why)
+    name = _plan_name("cycle", plan)
+    click.echo(f"plan {name}")
     _told(_with(config, log, lambda client: client.command(f"{name}-start", Start(name, members))))
 
 
+@fleet.command()
+@CONFIG
+@click.argument("members", nargs=-1, required=True)
+@PLAN
+@click.pass_obj
+def drain(log: Any, config: Path, members: tuple[str, ...], plan: str | None) -> None:
+    """Take MEMBERS out, within the budgets, and hold each out until `fleet return`."""
+    name = _plan_name("drain", plan)
+    click.echo(f"plan {name}")
+    start = Start(name, members, stay=True)
+    _told(_with(config, log, lambda client: client.command(f"{name}-start", start)))
+
+
+@fleet.command("return")
+@CONFIG
+@click.argument("member")
+@click.option("--operator", required=True)
+@ID
+@click.pass_obj
+def bring_back(log: Any, config: Path, member: str, operator: str, id: str | None) -> None:
+    """Let MEMBER, which a drain holds out, come back."""
+    _do(log, config, id, Return(member, operator))
+
+
+@fleet.command()
+@CONFIG
+@click.argument("member")
+@ID
+@click.pass_obj
+def forget(log: Any, config: Path, member: str, id: str | None) -> None:
+    """MEMBER is gone for good: no budget, plan or drain waits for it any more."""
+    _do(log, config, id, Forget(member))
+
+
+@fleet.command()
+@CONFIG
+@click.option("--agree", is_flag=True, help="Have those of CONFIG agreed on in place of what holds.")
+@ID
+@click.pass_obj
+def budgets(log: Any, config: Path, agree: bool, id: str | None) -> None:
+    """How many may be out at once, as agreed."""
+    if agree:
+        lines = keepers_of(config).budgets
+        if not lines:
+            end(f"{config}: budgets: found none; wanted those that are to hold")
+        told = tuple(Budget(b.kind, b.zone, b.most, b.share) for b in lines)
+        return _do(log, config, id, SetBudgets(told))
+    for b in _with(config, log, lambda client: client.state())[1].state.budgets:
+        most = f"{b.most}" if b.most is not None else f"{b.share:g} of them, one at least"
+        where = {"": "in all", "*": "in each zone"}.get(b.zone, f"in {b.zone}")
+        click.echo(f"{b.kind}s {where}: {most}")
+
+
 @fleet.command()
 @CONFIG
 @click.argument("plan")
--- a/walnutpost/cli/main.py
+++ b/walnutpost/cli/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import sys
 import tempfile
 import time
@@ -18,11 +19,23 @@
 from walnutpost.cli.keys import keys
 from walnutpost.cli.times import local, upcoming
 from walnutpost.cli.usage import usage
-from walnutpost.config import Config, ConfigError, load, own_schedules, schedules
+from walnutpost.config import (
+    Config,
+    ConfigError,
+    laid_over,
+    load,
+    load_with_own,
+    own_schedules,
+    parse,
+    schedules,
+)
 from walnutpost.schedules import owner_of
 from walnutpost.store import StoreError, history
 from walnutpost.trials import days, table
 from walnutpost.trials.facts import audit_folder
+from walnutpost.trials.fleet_run import play_fleet
+from walnutpost.trials.fleet_script import FleetScript
+from walnutpost.trials.fleet_stage import StageError as FleetStageError
 from walnutpost.trials.run import play
 from walnutpost.trials.script import Script
 from walnutpost.trials.stage import StageError
@@ -63,12 +76,25 @@
 
 @main.command()
 @CONFIG
+@click.option(
+    "--own", type=click.Path(path_type=Path), help="What is this front end's own, laid over CONFIG."
+)
 @CAPTURE
 @click.pass_obj
-def serve(log: Any, config: Path, capture: Path | None) -> None:
-    """Run a front end for the workers that CONFIG lists."""
-    checked = config_of(config)
-    _keys(lambda: run.serve(checked, config.parent, log, False, capture, config))
+def serve(log: Any, config: Path, own: Path | None, capture: Path | None) -> None:
+    """Run a front end for the workers that CONFIG lists.
+
+    With --own, files that are named are looked for beside that file.
+    """
+    if own is None:
+        checked = config_of(config)
+    else:
+        try:
+            checked = load_with_own(config, own, Config)
+        except ConfigError as error:
+            end(*error.lines)
+    base = (own or config).parent
+    _keys(lambda: run.serve(checked, base, log, False, capture, config, own))
 
 
 @main.command()
@@ -228,6 +254,41 @@
     sys.exit(0 if outcome.verdict.kept and covered and not outcome.failures else 1)
 
 
+@main.command("fleet-trial")
+@click.argument("script", type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path), help="Folder for captures and logs; kept.")
+@click.pass_obj
+def fleet_trial(log: Any, script: Path, out: Path | None) -> None:
+    """Play a fleet's day with keepers, agents, front ends, workers and clients on this machine.
+
+    Exits 1 where a rule was broken, or more were out than agreed, by an observer who asks the processes.
+    """
+    try:
+        checked = load(script, FleetScript)
+        told = _fleet(script.parent / checked.config).model_dump(mode="json", by_alias=True)
+        config = parse(json.dumps(laid_over(told, checked.over)), f"{script}: over", Config)
+    except ConfigError as error:
+        end(*error.lines)
+    with ExitStack() as stack:
+        folder = out or Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="fleet-")))
+        try:
+            outcome = play_fleet(checked, config, folder.absolute(), log)
+        except (StageError, FleetStageError) as error:
+            end(f"trial: {error}", code=3)
+    click.echo(table.calls_table(outcome.results))
+    click.echo()
+    click.echo(table.rules_table(outcome.verdict))
+    click.echo()
+    click.echo(table.plans_table(outcome.state))
+    for kind, most in outcome.most_out.items():
+        click.echo(f"most {kind}s out at once, but for what the script did: {most}")
+    for broken in outcome.broken:
+        click.echo(f"broken: {broken}")
+    for failure in outcome.failures:
+        click.echo(f"the trial itself: {failure}", err=True)
+    sys.exit(0 if outcome.good else 1)
+
+
 @main.command()
 @click.argument("capture", type=click.Path(path_type=Path))
 def audit(capture: Path) -> None:
--- a/walnutpost/cli/run.py
+++ b/walnutpost/cli/run.py
@@ -7,8 +7,9 @@
 from pathlib import Path
 from typing import Any
 
-from walnutpost.config import Config, ConfigError, StandIn, WorkerLine, load
+from walnutpost.config import Config, ConfigError, StandIn, WorkerLine, load, load_with_own
 from walnutpost.config.model import address_of
+from walnutpost.config.settings import us
 from walnutpost.daemon.front_end import FrontEnd
 from walnutpost.loop import Event, Loop
 from walnutpost.standins.fleet import local_store, start_worker
@@ -39,16 +40,22 @@
     return event
 
 
-def reload(path: Path, end: FrontEnd, log: Any) -> None:
+def reload(path: Path, own: Path | None, end: FrontEnd, log: Any) -> None:
     try:
-        end.reload(load(path, Config))
+        end.reload(load(path, Config) if own is None else load_with_own(path, own, Config))
         log.info("schedules reloaded", file=str(path))
     except ConfigError as error:
         log.error("not reloaded", errors=error.lines)
 
 
 def serve(
-    config: Config, base: Path, log: Any, fleet: bool, capture: Path | None, path: Path | None = None
+    config: Config,
+    base: Path,
+    log: Any,
+    fleet: bool,
+    capture: Path | None,
+    path: Path | None = None,
+    own: Path | None = None,
 ) -> None:
     """A front end; SIGHUP reads the schedules of `path` anew; with `fleet` the stand-in workers in the
     same process too."""
@@ -76,7 +83,7 @@
         end = FrontEnd(loop, config.model_copy(update={"front": front}), log, tap, base)
         held.append(end)
         if path is not None:
-            loop.on_signal(signal.SIGHUP, lambda: reload(path, end, log))
+            loop.on_signal(signal.SIGHUP, lambda: reload(path, own, end, log))
         stop.wait()
         end.stop()
 
@@ -110,7 +117,7 @@
             server.restart()
         log.info("listening", worker=line.name, address="{}:{}".format(*server.address))
         stop.wait()
-        server.stop()
+        server.leave(us(config.site.rules.drain_grace_ms))
 
     loop.run(run)
 
--- a/walnutpost/config/keepers.py
+++ b/walnutpost/config/keepers.py
@@ -6,7 +6,7 @@
 
 from pydantic import Field, StringConstraints, field_validator, model_validator
 
-from walnutpost.config.model import Ms, Strict, address_of
+from walnutpost.config.model import Ms, Share, Strict, address_of
 
 KeeperName = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9_.-]{1,60}$")]
 
@@ -28,7 +28,8 @@
 
 class AgentLine(Strict):
     """One process of the fleet. `command` starts it, `{config}` standing for its version's file; it is ready
-    once `ready` stands in its output. `first`: the file of its version until one is released."""
+    once `ready` stands in its output. `first`: the file of its version until one is released. `follows`: a
+    front end whose configuration has an `agreement`, which speaks for itself."""
 
     member: KeeperName
     kind: Literal["front_end", "worker"] = "front_end"
@@ -37,6 +38,32 @@
     ready: str = Field("listening", min_length=1)
     first: str
     ready_within_ms: Ms = 30_000
+    follows: bool = False
+
+
+class BudgetOut(Strict):
+    """At most `most` members of a kind are out at once, or `share` of them; in all, in `zone`, or in each
+    zone by itself where that is `*`."""
+
+    kind: Literal["front_end", "worker"]
+    zone: str = ""
+    most: int | None = Field(None, ge=0)
+    share: Share | None = None
+
+    @model_validator(mode="after")
+    def _one(self) -> BudgetOut:
+        if (self.most is None) == (self.share is None):
+            raise ValueError("either most or share")
+        return self
+
+
+class JudgeLine(Strict):
+    """When a step of a release counts as good: so many calls on either side, a share of failed, refused or
+    late ones at most `worse` above the old version's, by `sure` deviations."""
+
+    calls: int = Field(200, ge=1)
+    worse: Share = 0.02
+    sure: float = Field(2.0, ge=0, le=10)
 
 
 class Keepers(Strict):
@@ -45,12 +72,15 @@
 
     keepers: list[KeeperLine] = Field(min_length=1, max_length=9)
     agents: list[AgentLine] = Field(default_factory=list)
+    budgets: list[BudgetOut] = Field(default_factory=list)
+    judge: JudgeLine = JudgeLine()
     folder: str = "keepers"
     election_ms: Ms = 1000
     heartbeat_ms: Ms = 150
     lease_ms: Ms = 5000
     begin_within_ms: Ms = 5000
     log_most: int = Field(5000, ge=10)
+    history_most: int = Field(100_000, ge=0)
 
     @model_validator(mode="after")
     def _fits(self) -> Keepers:
--- a/walnutpost/config/load.py
+++ b/walnutpost/config/load.py
@@ -52,6 +52,29 @@
         raise ConfigError([_line(source, dict(e)) for e in error.errors()]) from None
 
 
+def load_with_own(path: Path, own: Path, model: type[M]) -> M:
+    """Reads `path` with the file `own` laid over it: what is one process's own stands apart from what all of
+    a version share. Sections are joined key by key, anything else is replaced. Raises ConfigError."""
+    told: list[dict[str, object]] = []
+    for file in (path, own):
+        try:
+            read = _read(file.read_text(encoding="utf-8"))
+        except (OSError, ValueError, RecursionError) as error:
+            raise ConfigError([f"{file}: cannot be read as JSON5: {error}"]) from None
+        if not isinstance(read, dict):
+            raise ConfigError([f"{file}: found {type(read).__name__}; wanted sections with names"])
+        told.append(read)
+    return parse(json.dumps(laid_over(*told)), f"{path} with {own}", model)
+
+
+def laid_over(under: dict[str, object], over: dict[str, object]) -> dict[str, object]:
+    out = dict(under)
+    for key, value in over.items():
+        known = out.get(key)
+        out[key] = laid_over(known, value) if isinstance(known, dict) and isinstance(value, dict) else value
+    return out
+
+
 def _read(text: str) -> object:
     """Plain JSON by the standard library, all else by json5, which is a thousand times slower: the files
     that programs write, worker lists above all, are plain."""
--- a/walnutpost/config/model.py
+++ b/walnutpost/config/model.py
@@ -248,6 +248,22 @@
         return self
 
 
+class Agreement(Strict):
+    """A fleet whose keepers tell this front end which workers leave. `keepers`: where they are reached;
+    `member`: this front end's name among them. No call waits for any of it."""
+
+    keepers: dict[Name, str] = Field(min_length=1)
+    member: Name
+    report_ms: float = Field(500.0, ge=10, le=60_000)
+
+    @field_validator("keepers")
+    @classmethod
+    def _addresses(cls, value: dict[str, str]) -> dict[str, str]:
+        for address in value.values():
+            address_of(address)
+        return value
+
+
 class StoreStandIn(Strict):
     """The package store that all stand-in workers share."""
 
@@ -342,6 +358,7 @@
     schedules: dict[ScheduleName, ScheduleLine] = Field(default_factory=dict)
     front: Front = Front()
     metering: Metering | None = None
+    agreement: Agreement | None = None
     fleet: Fleet | None = None
 
     @model_validator(mode="after")
--- /dev/null
+++ b/walnutpost/daemon/fleet.py
@@ -0,0 +1,134 @@
+"""A front end's side of the fleet: it says that it is there and how its calls end, and takes up what the
+fleet has agreed on of workers. No call waits for any of it."""
+
+from __future__ import annotations
+
+import os
+import secrets
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from walnutpost.config.model import Agreement, address_of
+from walnutpost.config.settings import us
+from walnutpost.daemon.core import Core
+from walnutpost.daemon.lists import Lists
+from walnutpost.fleet import FRONT_END, Answer, Enter, Figures, Follower, Sight
+from walnutpost.gateway import CallArrived, Final, Refused, Served
+from walnutpost.keeper import KeeperClient, NoAnswer
+from walnutpost.keeper.wire import BadWire, Report, Told
+from walnutpost.loop import Loop
+
+INCARNATION = "WALNUTPOST_INCARNATION"  # set by an agent, which has told the keepers of it
+
+
+class CountedCore(Core):
+    """Counts how calls end, for the judgement of a release. `aims`: microseconds, by function."""
+
+    figures = Figures()
+    aims: Mapping[str, int] = {}
+
+    def arrive(self, call: CallArrived, done: Callable[[Final], None]) -> None:
+        by = self._loop.now() + self.aims.get(call.function, 0)
+
+        def counted(final: Final) -> None:
+            self._count(final, self._loop.now() <= by)
+            done(final)
+
+        super().arrive(call, counted)
+
+    def leave(self, ticket: int) -> None:
+        """A caller that gives up has got no answer, whose ever fault that is."""
+        if ticket in self._waiting:
+            self._count(None, False)
+        super().leave(ticket)
+
+    def _count(self, final: Final | None, in_aim: bool) -> None:
+        served, refused = isinstance(final, Served), isinstance(final, Refused)
+        failed = not served and not refused
+        self.figures += Figures(int(served), int(refused), int(failed), int(served and in_aim))
+
+
+class Following:
+    """Reports over and over; an answer may bring a newer list. Decisions are `fleet.Follower`'s."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        line: Agreement,
+        zone: str,
+        core: CountedCore,
+        lists: Lists,
+        log: Any,
+        kept: Path,
+    ) -> None:
+        """`kept`: the file of the last list it had."""
+        self._loop, self._core, self._lists, self._log = loop, core, lists, log
+        self._zone, self._every = zone, us(line.report_ms)
+        own = os.environ.get(INCARNATION)
+        self.follower = Follower(line.member, own or secrets.token_hex(6), own is not None)
+        addresses = {name: address_of(address) for name, address in line.keepers.items()}
+        patience = max(self._every, 1_000_000)
+        self._client = KeeperClient(loop, addresses, patience, patience // 2)
+        self._heard = True
+        self._kept = kept
+
+    def catch_up(self) -> None:
+        """Before it listens: the agreed list, or where no keeper answers, the last one it had."""
+        if self._report() or self.follower.sight is not None:
+            return
+        try:
+            sight = msgspec.msgpack.decode(self._kept.read_bytes(), type=Sight)
+        except (OSError, msgspec.MsgspecError):
+            return
+        self._take_up(Told(Answer(False, 0), sight=sight))
+
+    def run(self) -> None:
+        """Until cancelled."""
+        while True:
+            if not self._report():
+                self._loop.sleep(self._every)
+
+    def _report(self) -> bool:
+        """Whether something is to be said at once: who waits for an acknowledgement should not wait long."""
+        follower = self.follower
+        report = Report(
+            follower.member,
+            follower.incarnation,
+            acts=follower.acts,
+            figures=self._core.figures.told,
+        )
+        try:
+            if follower.must_enter:
+                enter = Enter(follower.member, FRONT_END, self._zone, follower.incarnation, "", True)
+                self._client.command(f"enter-{follower.incarnation}-{secrets.token_hex(4)}", enter)
+            told = self._client.report(report)
+        except (NoAnswer, BadWire) as error:
+            if self._heard:
+                self._heard = False
+                self._log.warning("keepers", why=f"none answers, the list stays as it is: {error}")
+            return False
+        if not self._heard:
+            self._heard = True
+            self._log.info("keepers", why="they answer again")
+        entered = not follower.must_enter
+        return self._take_up(told) or (entered and follower.must_enter)
+
+    def _take_up(self, told: Told) -> bool:
+        follower = self.follower
+        known = told.answer is not None and told.answer.done
+        if not follower.told(told.sight, known) or follower.sight is None:
+            return False
+        self._lists.agreed(follower.sight)
+        follower.acting()
+        leaving = [w.name for w in follower.sight.workers if w.leaving]
+        self._log.info("agreed list", index=follower.acts, leaving=leaving)
+        new = self._kept.with_name(self._kept.name + ".new")
+        try:  # for a start without keepers: one that is lost costs a look at the own list
+            new.write_bytes(msgspec.msgpack.encode(follower.sight))
+            new.replace(self._kept)
+        except OSError as error:
+            self._log.warning("agreed list", why=f"not kept: {error}")
+        return True
--- a/walnutpost/daemon/front_end.py
+++ b/walnutpost/daemon/front_end.py
@@ -13,6 +13,7 @@
 from walnutpost.config.settings import us
 from walnutpost.daemon.core import Core
 from walnutpost.daemon.deferred import Deferred
+from walnutpost.daemon.fleet import CountedCore, Following
 from walnutpost.daemon.keys import Keys
 from walnutpost.daemon.lists import Lists
 from walnutpost.daemon.meters import Meters
@@ -74,6 +75,11 @@
         context = keys.context if keys is not None else None
         self.links = Links(loop, link_settings, f"{front.index}-{secrets.token_hex(6)}", tap, context)
         self.core = Core(loop, gateway, self.links, log)
+        counted: CountedCore | None = None
+        if config.agreement is not None:
+            self.core = counted = CountedCore(loop, gateway, self.links, log)
+            functions = self.catalogue.functions.items()
+            counted.aims = {name: settings.classes[f.class_index].aim for name, f in functions}
         self._store = ExecutionStore(loop, base / front.store)
         self.deferred = Deferred(
             loop, self.core, self._store, self.catalogue, settings.classes, us(front.keep_results_ms), log
@@ -92,6 +98,12 @@
             self._tasks.append(loop.spawn(self.lists.follow, path, us(front.workers_poll_ms), name="list"))
         else:
             self.lists.tell(ListKind.CACHED, 0, front.workers)
+        self.following: Following | None = None
+        if config.agreement is not None and counted is not None:
+            zone = front.zone or "all"
+            kept = base / f"{front.store}.agreed"
+            self.following = Following(loop, config.agreement, zone, counted, self.lists, log, kept)
+            self.following.catch_up()
         firings = FiringStore(self._store)
         self._seen = Seen(base / f"{front.store}.seen")
         self.timers = TimersFront(
@@ -121,6 +133,8 @@
         address = address_of(front.listen)
         self.server: Server = serve_on(loop, address, invoke.handle, refusal, limits, tap, "front")
         self._tasks.append(loop.spawn(self.timers.run, name="timers"))
+        if self.following is not None:
+            self._tasks.append(loop.spawn(self.following.run, name="following"))
         log.info("listening", address="{}:{}".format(*self.server.address), recovered=self.recovered)
 
     @property
--- a/walnutpost/daemon/lists.py
+++ b/walnutpost/daemon/lists.py
@@ -1,4 +1,5 @@
-"""The worker list: from the configuration, or from a file that is replaced while the front end runs."""
+"""The worker list: from the configuration, or from a file that is replaced while the front end runs; and what
+the fleet has agreed on, where the front end is one of a fleet."""
 
 from __future__ import annotations
 
@@ -8,6 +9,7 @@
 
 from walnutpost.config import ConfigError, Site, WorkerLine, WorkerList, load, worker_lines
 from walnutpost.daemon.core import Core
+from walnutpost.fleet.sight import Listed, Sight, joined
 from walnutpost.gateway import WorkersTold
 from walnutpost.interface import ListKind
 from walnutpost.links import Links
@@ -32,13 +34,31 @@
         self._site = site
         self._log = log
         self._on_told = on_told
-        self._version = -1
+        self._version = -1  # of the list's own source
+        self._told = -1
+        self._base: tuple[ListKind, list[WorkerLine]] | None = None
+        self._sight: Sight | None = None
         self._complaint = ""
         self._seen: tuple[int, int, int] | None = None
 
     def tell(self, kind: ListKind, version: int, lines: list[WorkerLine]) -> None:
-        told, addresses, leaving = worker_lines(self._site, lines)
         self._version = version
+        self._base = kind, lines
+        self._pass_on()
+
+    def agreed(self, sight: Sight) -> None:
+        """When this returns, no new work goes by an older list."""
+        self._sight = sight
+        self._pass_on()
+
+    def _pass_on(self) -> None:
+        if self._base is None and self._sight is None:
+            return
+        kind, lines = self._base or (ListKind.CACHED, [])
+        if self._sight is not None:
+            lines = _with_agreed(lines, self._sight, self._site)
+        told, addresses, leaving = worker_lines(self._site, lines)
+        version = self._told = max(self._version, self._told + 1)
         names = {line.name: line.tls_name for line in lines if line.tls_name is not None}
         self._links.told(addresses, leaving, names)
         if self._on_told is not None:
@@ -74,3 +94,17 @@
         while True:
             self._loop.sleep(every)
             self.read(path)
+
+
+def _with_agreed(lines: list[WorkerLine], sight: Sight, site: Site) -> list[WorkerLine]:
+    own = {line.name: line for line in lines}
+    found = joined(
+        [Listed(w.name, w.address, w.zone, w.started_at, w.state == "draining") for w in lines], sight
+    )
+    out = []
+    for w in found:
+        zone = w.zone if w.zone in site.zones else None
+        line = own.get(w.name) or WorkerLine(name=w.name, address=w.address, zone=zone)
+        state = "draining" if w.leaving else "ready"
+        out.append(line.model_copy(update={"address": w.address, "state": state, "started_at": w.began}))
+    return out
--- a/walnutpost/fleet/budgets.py
+++ b/walnutpost/fleet/budgets.py
@@ -11,7 +11,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Use:
-    """One budget in one place: `out` of `allowed`, by name."""
+    """One budget in one place: `out` of `allowed`, by name. `silent`: those that no permit accounts for,
+    since one that is being replaced may be silent longer than a lease, as agreed."""
 
     budget: Budget
     zone: str
@@ -35,7 +36,8 @@
     budgets: Iterable[Budget], members: Mapping[str, Member], permits: Iterable[Permit], kind: str, zone: str
 ) -> list[Use]:
     """The budgets that a member of this kind and zone counts in."""
-    gone, found = out(members, permits), []
+    permits = list(permits)
+    gone, agreed, found = out(members, permits), {p.member for p in permits}, []
     for budget in budgets:
         if budget.kind != kind or budget.zone not in ("", "*", zone):
             continue
@@ -47,7 +49,7 @@
                 place,
                 budget.allowed(len(here)),
                 tuple(n for n in here if n in gone),
-                tuple(n for n in here if members[n].silent),
+                tuple(n for n in here if members[n].silent and n not in agreed),
             )
         )
     return found
--- a/walnutpost/fleet/commands.py
+++ b/walnutpost/fleet/commands.py
@@ -38,13 +38,18 @@
 
 
 class Enter(Record, frozen=True, tag=True):
-    """A process is up and ready. The same name with another incarnation is the same place, anew."""
+    """A process is up and ready. The same name with another incarnation is the same place, anew. `follows`:
+    it is told which workers leave, and says what it acts on. `address` and `began` (seconds of its machine's
+    clock) are a worker's, for those who call it; empty and 0 where not told."""
 
     member: str
     kind: str
     zone: str
     incarnation: str
     version: str = ""
+    follows: bool = False
+    address: str = ""
+    began: float = 0.0
 
 
 class Silent(Record, frozen=True, tag=True):
@@ -89,6 +94,29 @@
     holder: str
 
 
+class Acted(Record, frozen=True):
+    """This process has said that it acts on the list of workers of entry `index`."""
+
+    member: str
+    incarnation: str
+    index: int
+
+
+class Clear(Record, frozen=True, tag=True):
+    """Every front end that is not silent acts on a list without the worker: it may end. `acted` is what the
+    leader heard, and is checked against the members as they are when this is agreed on."""
+
+    permit: str
+    acted: tuple[Acted, ...]
+
+
+class Return(Record, frozen=True, tag=True):
+    """An operator wants a member back in that a drain holds out."""
+
+    member: str
+    operator: str
+
+
 class Back(Record, frozen=True, tag=True):
     """The member is up and ready again as this incarnation: the place is in. `failed`: why the version that
     its plan wants is not the one that runs; empty where the plan may simply ask again."""
@@ -98,6 +126,8 @@
     incarnation: str
     version: str = ""
     failed: str = ""
+    address: str = ""
+    began: float = 0.0
 
 
 class Remove(Record, frozen=True, tag=True):
@@ -120,22 +150,29 @@
 class Start(Record, frozen=True, tag=True):
     """Brings `members` to `version` (a release or the way back), or takes them out once (a drain, `version`
     empty). `steps`: shares of the members that may be at it by then, ascending to 1; the first is always one
-    member. `back`: on a bad judgement go back to this version by itself."""
+    member. `back`: on a bad judgement go back to this version by itself. `stay`: a drain that holds them out
+    until each is asked back. `replaces`: this plan under way ends, and nothing more begins for it. `judged`
+    False: a release that no judgement holds up, such as the way back."""
 
     plan: str
     members: tuple[str, ...]
     version: str = ""
     steps: tuple[float, ...] = (1.0,)
     back: str = ""
+    stay: bool = False
+    replaces: str = ""
+    judged: bool = True
 
 
 class Judge(Record, frozen=True, tag=True):
-    """The leader's judgement of a step whose members are all back."""
+    """The leader's judgement of a step whose members are all back, or an operator's. `before`: what the
+    members on the old version did meanwhile, for the steps that leave none of them."""
 
     plan: str
     step: int
     good: bool
     why: str = ""
+    before: tuple[int, ...] = ()
 
 
 class Halt(Record, frozen=True, tag=True):
@@ -149,6 +186,17 @@
     plan: str = ""
 
 
+class Alone(Record, frozen=True, tag=True):
+    """What an operator had an agent do without a permit, while no quorum answered; told once one does.
+    `at`: seconds by the machine's clock, a hint alone."""
+
+    member: str
+    operator: str
+    why: str
+    version: str
+    at: float
+
+
 class SetBudgets(Record, frozen=True, tag=True):
     budgets: tuple[Budget, ...]
 
@@ -161,6 +209,8 @@
     | Ask
     | Began
     | Unbegun
+    | Clear
+    | Return
     | Back
     | Remove
     | Keep
@@ -168,6 +218,7 @@
     | Judge
     | Halt
     | Resume
+    | Alone
     | SetBudgets
 )
 
@@ -182,22 +233,30 @@
 
 
 class _Framed(Record, frozen=True):
+    """`at`: seconds by the clock of the asker's machine. A hint for people; nothing is decided by it."""
+
     format: int
     command: Command
+    at: float = 0.0
 
 
 _decoder = msgspec.msgpack.Decoder(_Framed)
 
 
-def encode(command: Command) -> bytes:
-    return msgspec.msgpack.encode(_Framed(FORMAT, command))
+def encode(command: Command, at: float = 0.0) -> bytes:
+    return msgspec.msgpack.encode(_Framed(FORMAT, command, at))
 
 
 def decode(data: bytes) -> Command:
+    return decode_at(data)[0]
+
+
+def decode_at(data: bytes) -> tuple[Command, float]:
+    """The command, and when its asker's clock says it was asked; raises BadCommand."""
     try:
         framed = _decoder.decode(data)
     except msgspec.MsgspecError as error:
         raise BadCommand(f"not a command: {error}") from error
     if framed.format != FORMAT:
         raise BadCommand(f"format {framed.format}, wanted {FORMAT}")
-    return framed.command
+    return framed.command, framed.at
--- a/walnutpost/fleet/machine.py
+++ b/walnutpost/fleet/machine.py
@@ -6,17 +6,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from itertools import chain, zip_longest
+from typing import Any
 
 import msgspec
 
 from walnutpost.fleet import budgets
 from walnutpost.fleet.commands import (
+    WORKER,
+    Alone,
     Answer,
     Ask,
     Back,
     BadCommand,
     Began,
+    Clear,
     Command,
     Enter,
     Forget,
@@ -26,6 +31,7 @@
     Keep,
     Remove,
     Resume,
+    Return,
     SetBudgets,
     Silent,
     Start,
@@ -34,6 +40,8 @@
 )
 from walnutpost.fleet.state import Member, Permit, Plan, State
 
+ALONE_MOST = 100  # of what was done without a quorum
+VERSIONS_MOST, PLANS_MOST = 20, 100  # beyond what is needed
 ANSWERS_MOST = 10_000  # remembered: a command that comes again later than so many others is applied anew
 _decoder = msgspec.msgpack.Decoder(State)
 
@@ -82,7 +90,15 @@
             case Forget(member):
                 for permit in [p for p in state.permits.values() if p.member == member]:
                     self._returned(permit)
-                return self._yes() if state.members.pop(member, None) else self._no(f"no member {member}")
+                known = state.members.pop(member, None)
+                if known is None:
+                    return self._no(f"no member {member}")
+                self._listed(known.kind)
+                for plan in [p for p in state.plans.values() if not p.ended and member in p.order]:
+                    plan.order.remove(member)
+                    plan.done = [m for m in plan.done if m != member]
+                    self._look(plan)
+                return self._yes()
             case Ask():
                 return self._grant(index, command)
             case Began(permit, holder):
@@ -97,6 +113,14 @@
                     return self._no(f"{holder} holds no permit {permit} that has not begun")
                 self._returned(held)
                 return self._yes()
+            case Clear():
+                return self._clear(command)
+            case Return(member):
+                permits = [p for p in state.permits.values() if p.member == member and p.plan]
+                if not permits or not state.plans[permits[0].plan].stay:
+                    return self._no(f"no drain holds {member} out")
+                permits[0].returning = True
+                return self._yes()
             case Back():
                 return self._back(command)
             case Remove(permit):
@@ -107,6 +131,7 @@
                 return self._yes()
             case Keep(version, content):
                 state.versions[version] = content
+                self._trim(state.versions, VERSIONS_MOST, self._needed())
                 return self._yes()
             case Start():
                 return self._start(command)
@@ -116,6 +141,9 @@
                 return self._halt(why or "halted by an operator", plan)
             case Resume(plan):
                 return self._resume(plan)
+            case Alone():
+                state.alone = [*state.alone, command][-ALONE_MOST:]
+                return self._yes()
             case SetBudgets(told):
                 state.budgets = list(told)
                 return self._yes()
@@ -124,9 +152,17 @@
 
     def _enter(self, e: Enter) -> Answer:
         """A place that is out by permit stays out: its holder says when it is back."""
-        self.state.members[e.member] = Member(e.kind, e.zone, e.incarnation, e.version)
+        self.state.members[e.member] = Member(
+            e.kind, e.zone, e.incarnation, e.version, False, e.follows, e.address, e.began
+        )
+        self._listed(e.kind)
         return self._yes()
 
+    def _listed(self, kind: str) -> None:
+        """What front ends are told of workers is another from this entry on."""
+        if kind == WORKER:
+            self.state.listed = self.state.index
+
     def _told_of(self, name: str, incarnation: str, silent: bool) -> Answer:
         member = self.state.members.get(name)
         if member is None or member.incarnation != incarnation:
@@ -160,6 +196,7 @@
                     return self._no(use.told)
         permit = Permit(f"p{index}", ask.member, ask.holder, ask.why, index, ask.plan)
         state.permits[permit.id] = permit
+        self._listed(member.kind)
         return self._yes(permit.id)
 
     def _against(self, ask: Ask) -> str:
@@ -184,6 +221,24 @@
 
     def _returned(self, permit: Permit) -> None:
         del self.state.permits[permit.id]
+        if (member := self.state.members.get(permit.member)) is not None:
+            self._listed(member.kind)
+
+    def _clear(self, clear: Clear) -> Answer:
+        """Checked here and not only where it is proposed: a front end may have come up since."""
+        permit = self.state.permits.get(clear.permit)
+        if permit is None:
+            return self._no(f"no permit {clear.permit}")
+        acted = {a.member: a for a in clear.acted}
+        for name, member in self.state.members.items():
+            if not member.follows or member.silent:
+                continue
+            told = acted.get(name)
+            if told is None or told.incarnation != member.incarnation or told.index < permit.at:
+                return self._no(f"{name} has not said that it acts on {permit.at}")
+        if not permit.cleared:
+            permit.cleared, permit.acted = self.state.index, clear.acted
+        return self._yes()
 
     def _back(self, back: Back) -> Answer:
         held = self._held(back.permit, back.holder)
@@ -191,13 +246,14 @@
             return self._no(f"{back.holder} holds no permit {back.permit}")
         member = self.state.members[held.member]
         member.incarnation, member.version, member.silent = back.incarnation, back.version, False
+        member.address, member.began = back.address or member.address, back.began or member.began
         self._returned(held)
-        plan = self.state.plans.get(held.plan)
-        if plan is not None and held.member not in plan.done:
-            if not plan.version or plan.version == back.version:
+        for plan in [p for p in self.state.plans.values() if not p.ended]:
+            due = held.member in plan.order and held.member not in plan.done
+            if due and (plan.version == back.version if plan.version else plan.id == held.plan):
                 plan.done.append(held.member)
                 self._look(plan)
-            elif back.failed:
+            elif due and back.failed and plan.id == held.plan:
                 self._bad(plan, f"{held.member}: {back.failed}")
         return self._yes()
 
@@ -207,8 +263,10 @@
         state = self.state
         if s.plan in state.plans:
             return self._no(f"plan {s.plan} is known already")
-        if open_plan := next((p.id for p in state.plans.values() if not p.ended), None):
+        if open_plan := next((p.id for p in state.plans.values() if not p.ended and p.id != s.replaces), ""):
             return self._no(f"plan {open_plan} is under way")
+        if s.replaces and (s.replaces not in state.plans or state.plans[s.replaces].ended):
+            return self._no(f"no plan {s.replaces} under way to replace")
         if s.version and s.version not in state.versions:
             return self._no(f"version {s.version} is not kept")
         if s.back and s.back not in state.versions:
@@ -217,10 +275,39 @@
             return self._no(f"no member {', '.join(unknown)}")
         if not s.members or list(s.steps) != sorted({*s.steps}) or not s.steps or s.steps[-1] != 1.0:
             return self._no("members, and steps that rise to 1, are wanted")
-        state.plans[s.plan] = Plan(s.plan, self._spread(s.members), s.version, list(s.steps), s.back)
+        if s.stay and s.version:
+            return self._no("a release holds nobody out")
+        going = {p.member for p in state.permits.values()}
+        wanted = [
+            m for m in s.members if not s.version or m in going or state.members[m].version != s.version
+        ]
+        if s.replaces:
+            state.plans[s.replaces].ended = f"replaced by {s.plan}"
+        judged = s.judged and bool(s.version)
+        plan = Plan(
+            s.plan, self._spread(wanted), s.version, list(s.steps), s.back, stay=s.stay, judged=judged
+        )
+        plan.ended = "" if wanted else "done: all were at it"
+        state.plans[s.plan] = plan
+        held = {p.plan for p in state.permits.values()}
+        self._trim(state.plans, PLANS_MOST, held | {p.id for p in state.plans.values() if not p.ended})
         return self._yes()
 
-    def _spread(self, names: tuple[str, ...]) -> list[str]:
+    def _needed(self) -> set[str]:
+        """Versions that run, or that a plan under way goes to or back to."""
+        run = {m.version for m in self.state.members.values()}
+        return run.union(*({p.version, p.back} for p in self.state.plans.values() if not p.ended))
+
+    @staticmethod
+    def _trim(held: dict[str, Any], most: int, needed: set[str]) -> None:
+        """The oldest go first that nothing needs; the newest stays in any case."""
+        for name in list(held)[:-1]:
+            if len(held) <= most:
+                return
+            if name not in needed:
+                del held[name]
+
+    def _spread(self, names: Iterable[str]) -> list[str]:
         """Each zone in turn, so that a step never takes a zone by itself."""
         zones: dict[str, list[str]] = {}
         for name in sorted(set(names)):
@@ -229,11 +316,9 @@
         return [name for name in chain.from_iterable(turns) if name is not None]
 
     def _look(self, plan: Plan) -> None:
-        """A drain needs no judgement; a release's steps end by one (`_judge`)."""
-        if not plan.version and len(plan.done) == len(plan.order):
+        """A drain and a way back need no judgement; a release's steps end by one (`_judge`)."""
+        if not plan.judged and len(plan.done) == len(plan.order):
             plan.ended = "done"
-        elif not plan.version and len(plan.done) >= plan.reached():
-            plan.step += 1
 
     def _judge(self, j: Judge) -> Answer:
         plan = self.state.plans.get(j.plan)
@@ -246,6 +331,7 @@
             return self._no(plan.halted)
         if len(plan.done) < plan.reached():
             return self._no(f"{plan.reached() - len(plan.done)} members of step {j.step} are not back")
+        plan.before = j.before or plan.before
         if len(plan.done) == len(plan.order):
             plan.ended = "done"
         else:
@@ -260,7 +346,7 @@
             touched = [m for m in plan.order if self._touched(plan, m)]
             if touched:
                 id = f"{plan.id}.back"
-                self.state.plans[id] = Plan(id, touched, plan.back, [1.0], "")
+                self.state.plans[id] = Plan(id, touched, plan.back, [1.0], "", judged=False)
 
     def _touched(self, plan: Plan, name: str) -> bool:
         member = self.state.members.get(name)
--- a/walnutpost/fleet/steward.py
+++ b/walnutpost/fleet/steward.py
@@ -11,16 +11,18 @@
 from enum import Enum
 from random import Random
 
-from walnutpost.fleet.commands import Ask, Back, Began, Command, Enter, Unbegun
+from walnutpost.fleet.commands import WORKER, Alone, Ask, Back, Began, Command, Enter, Unbegun
 from walnutpost.fleet.holder import Holder, Stand
-from walnutpost.fleet.state import State
+from walnutpost.fleet.state import Permit, State, granted_at
 
 
 class Phase(Enum):
     STARTING = "starting"
     RUNNING = "running"
+    LEAVING = "leaving"  # a worker that begins to go out: until no front end calls it any more
     STOPPING = "stopping"
     PAUSING = "pausing"  # until it is started again
+    DOWN = "down"  # held out by a drain, until an operator wants it back
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +59,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Ready:
+    """`address` and `began` (seconds of the machine's clock) where they are known."""
+
     incarnation: str
+    address: str = ""
+    began: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +76,18 @@
     pass
 
 
-Input = Saw | Answered | Ready | Ended | Due
+@dataclass(frozen=True, slots=True)
+class ByHand:
+    """An operator on this machine wants it started anew now, with `version` if one is named: without a
+    permit, since no quorum answers."""
+
+    operator: str
+    why: str
+    at: float
+    version: str = ""
+
+
+Input = Saw | Answered | Ready | Ended | Due | ByHand
 
 
 # Effects
@@ -117,18 +134,30 @@
     holder: Holder
     tries: int = 0
     going_back: bool = False
+    stay: bool = False
 
 
 class Steward:
     """`agent` outlives the process and the agent's own restarts, so that a permit is known for its own.
-    `current` and `previous` are the versions on its disk; `moved` tells when they change."""
+    `current` and `previous` are the versions on its disk, `held` the permit of the drain that holds it out;
+    all three are to outlive the agent. `follows`: the process tells the keepers itself that it is there."""
 
     def __init__(
-        self, agent: str, member: str, kind: str, zone: str, current: str, terms: Terms, seed: int
+        self,
+        agent: str,
+        member: str,
+        kind: str,
+        zone: str,
+        current: str,
+        terms: Terms,
+        seed: int,
+        follows: bool = False,
+        held: str = "",
     ) -> None:
         self.agent, self.member, self.current = agent, member, current
         self.previous = ""
-        self._kind, self._zone, self._terms = kind, zone, terms
+        self.held = held
+        self._kind, self._zone, self._terms, self._follows = kind, zone, terms, follows
         self._random = Random(f"{seed} {agent}")
         self.phase = Phase.PAUSING
         self._now = 0
@@ -139,8 +168,9 @@
         self._incarnation = ""
         self._move: _Move | None = None
         self._ask_at = 0
-        self._owed = ""  # a permit of before the agent's own restart
+        self._owed = ""  # the permit of a drain that it comes back from
         self._looked = False
+        self._address, self._began, self._index = "", 0.0, 0
 
     def handle(self, now: int, event: Input) -> list[Effect]:
         self._now, self._effects = now, []
@@ -149,8 +179,10 @@
                 self._saw(state)
             case Answered(permit, why):
                 self._answered(permit, why)
-            case Ready(incarnation) if self.phase is Phase.STARTING:
-                self._ready(incarnation)
+            case Ready() if self.phase is Phase.STARTING:
+                self._ready(event)
+            case ByHand():
+                self._by_hand(event)
             case Ended():
                 self._ended()
             case Due():
@@ -166,7 +198,11 @@
         return effects
 
     def start(self, now: int) -> list[Effect]:
-        self._due = now
+        """One that a drain held out when its agent ended stays out."""
+        if self.held:
+            self.phase = Phase.DOWN
+        else:
+            self._due = now
         return self.handle(now, Due())
 
     @property
@@ -190,8 +226,9 @@
             self._move.tries += 1
         self._effects.append(Launch(version))
 
-    def _ready(self, incarnation: str) -> None:
-        version = self._version()
+    def _ready(self, ready: Ready) -> None:
+        version, incarnation = self._version(), ready.incarnation
+        self._address, self._began = ready.address, ready.began
         self.phase, self._due, self._incarnation = Phase.RUNNING, None, incarnation
         self._running_since = self._now
         move, permit, failed = self._move, self._owed, ""
@@ -199,23 +236,40 @@
             permit = move.holder.permit
             if move.going_back:
                 failed = f"{move.version} does not come up"
-            else:
+            elif move.version != self.current:
                 self.current, self.previous = move.version, self.current
             self._move = None
         if permit:
-            self._owed = ""
-            self._effects.append(Tell(Back(permit, self.agent, incarnation, version, failed)))
+            self._owed = self.held = ""
+            self._say_back(permit, failed)
         else:
-            self._effects.append(Tell(Enter(self.member, self._kind, self._zone, incarnation, version)))
+            self._effects.append(
+                Tell(
+                    Enter(
+                        self.member,
+                        self._kind,
+                        self._zone,
+                        incarnation,
+                        version,
+                        self._follows,
+                        ready.address,
+                        ready.began,
+                    )
+                )
+            )
 
     def _ended(self) -> None:
-        if self.phase is Phase.STOPPING:
+        move = self._move
+        if self._begun and move is not None and move.stay:
+            self.phase, self._due, self.held = Phase.DOWN, None, move.holder.permit
+            self._move = None
+            return
+        if self.phase in (Phase.STOPPING, Phase.LEAVING):
             self._launch(self._version())
             return
         failed = self._begun and self.phase is Phase.STARTING
         if self.phase is Phase.RUNNING and self._now - self._running_since >= self._terms.pause_most:
             self._pause = self._terms.pause_first
-        move = self._move
         if failed and move is not None and not move.going_back and move.tries >= self._terms.tries:
             move.going_back = True
             self._pause = self._terms.pause_first
@@ -226,25 +280,80 @@
     # Plans and permits
 
     def _saw(self, state: State) -> None:
-        if not self._looked:
+        if state.index < self._index:  # of a keeper that lags behind another one
+            return
+        self._index = state.index
+        if not self._looked and self.phase in (Phase.RUNNING, Phase.DOWN):
             self._looked = True
             held = next((p for p in state.permits.values() if p.holder == self.agent), None)
-            if held is not None and self._move is None:
-                self._recover(held.id)
+            if held is not None and self._move is None and held.id != self.held:
+                self._recover(held, state)
+        if self.phase is Phase.LEAVING or self.phase is Phase.DOWN:
+            self._out_by(state)
         wanted = _wanted(state, self.member, self.current)
         free = self._move is None and self.phase is Phase.RUNNING and self._now >= self._ask_at
         if free and wanted is not None:
             plan, version = wanted
-            self._move = _Move(plan, version, Holder(self._now, self._terms.begin_within))
+            holder = Holder(self._now, self._terms.begin_within)
+            self._move = _Move(plan, version, holder, stay=state.plans[plan].stay)
             why = f"to {version}" if version else "to be drained"
             self._effects.append(Request(Ask(self.member, self.agent, why, plan)))
 
-    def _recover(self, permit: str) -> None:
-        """The agent was restarted while it held one: the place is back once its process is."""
-        if self.phase is Phase.RUNNING:
-            self._effects.append(Tell(Back(permit, self.agent, self._incarnation, self.current)))
+    def _out_by(self, state: State) -> None:
+        """What the permit that it is out by has come to."""
+        move = self._move
+        id = self.held or (move.holder.permit if move is not None else "")
+        permit = state.permits.get(id)
+        if permit is None and state.index < granted_at(id):
+            return
+        if self.phase is Phase.LEAVING:
+            if permit is None:  # an operator has taken it away: it never went
+                self.phase, self._move = Phase.RUNNING, None
+            elif permit.returning:
+                self.phase, self._move = Phase.RUNNING, None
+                self._say_back(permit.id)
+            elif permit.cleared:
+                self.phase = Phase.STOPPING
+                self._effects.append(EndIt())
+        elif self.phase is Phase.DOWN and (permit is None or permit.returning):
+            self._owed, self.held = (permit.id if permit is not None else ""), ""
+            self._launch(self.current)
+
+    def _by_hand(self, order: ByHand) -> None:
+        """What an agreed move has begun goes on: it is out already."""
+        if self.phase is Phase.DOWN:
+            self._owed, self.held = self.held, ""
+            self._launch(self.current)
+        elif self.phase is not Phase.RUNNING:
+            self._effects.append(Note(f"not by hand: it is {self.phase.value}"))
+            return
         else:
-            self._owed = permit
+            holder = Holder(self._now, 1)
+            holder.stand = Stand.BEGUN
+            self._move = _Move("", order.version or self.current, holder)
+            self.phase = Phase.STOPPING
+            self._effects.append(EndIt())
+        self._effects.append(Note(f"without a permit, by {order.operator}: {order.why}"))
+        version = order.version or self.current
+        self._effects.append(Tell(Alone(self.member, order.operator, order.why, version, order.at)))
+
+    def _recover(self, permit: Permit, state: State) -> None:
+        """The agent was restarted while it held one: the place is back, now that its process is, unless a
+        drain wants it out."""
+        plan = state.plans.get(permit.plan)
+        if permit.began and plan is not None and plan.stay and not permit.returning:
+            holder = Holder(self._now, 1)
+            holder.stand, holder.permit = Stand.BEGUN, permit.id
+            self._move = _Move(permit.plan, self.current, holder, stay=True)
+            self.phase = Phase.LEAVING
+        else:
+            self._say_back(permit.id)
+
+    def _say_back(self, permit: str, failed: str = "") -> None:
+        back = Back(
+            permit, self.agent, self._incarnation, self._version(), failed, self._address, self._began
+        )
+        self._effects.append(Tell(back))
 
     def _answered(self, permit: str, why: str) -> None:
         move = self._move
@@ -260,8 +369,12 @@
             return
         move.holder.granted(self._now, permit)
         if self.phase is Phase.RUNNING and move.holder.begin(self._now):
-            self._effects += [Tell(Began(permit, self.agent)), EndIt()]
-            self.phase = Phase.STOPPING
+            self._effects.append(Tell(Began(permit, self.agent)))
+            if self._kind == WORKER:  # it ends once no front end that is heard of sends it anything new
+                self.phase = Phase.LEAVING
+            else:
+                self.phase = Phase.STOPPING
+                self._effects.append(EndIt())
         else:  # too late, or its process has ended by itself meanwhile and is started as it was
             self._effects.append(Tell(Unbegun(permit, self.agent)))
             self._move = None
--- a/walnutpost/keeper/client.py
+++ b/walnutpost/keeper/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Mapping
 
 from walnutpost.agreement import DEPOSED, NEW_IN_OFFICE, NOT_LEADER, Members
@@ -30,13 +31,18 @@
 
     def command(self, id: str, command: Command) -> Answer:
         """The agreed answer. An `id` that was used before gets the answer of then."""
-        return self._answer(wire.COMMANDS, wire.encode(wire.Order(id, encode(command))))
+        return self._answer(wire.COMMANDS, wire.encode(wire.Order(id, encode(command, time.time()))))
 
     def change(self, id: str, members: Members) -> Answer:
         return self._answer(wire.MEMBERS, wire.encode(wire.Membership(id, members)))
 
-    def report(self, member: str, incarnation: str) -> Answer:
-        return self._answer(wire.REPORTS, wire.encode(wire.Report(member, incarnation)))
+    def report(self, report: wire.Report) -> wire.Told:
+        """What the leader says to it, with the list of workers where it has a newer one."""
+        return wire.decode(self._ask("POST", wire.REPORTS, wire.encode(report)).body, wire.Told)
+
+    def history(self, keeper: str, after: int, most: int) -> wire.History:
+        """What this keeper has of the history after that entry; raises NoAnswer."""
+        return self._from(keeper, f"{wire.HISTORY}?after={after}&most={most}", wire.History)
 
     def state(self) -> tuple[wire.View, Fleet]:
         """What a quorum confirms to be the newest."""
@@ -45,9 +51,12 @@
 
     def here(self, keeper: str) -> wire.View:
         """What this keeper holds, however old; raises NoAnswer."""
+        return self._from(keeper, wire.STATE + "?here", wire.View)
+
+    def _from(self, keeper: str, target: str, kind: type[wire.T]) -> wire.T:
         try:
             with self._loop.timeout(self._each):
-                return wire.decode(self._one(keeper, "GET", wire.STATE + "?here", b"").body, wire.View)
+                return wire.decode(self._one(keeper, "GET", target, b"").body, kind)
         except (OSError, BadMessage, Timeout, wire.BadWire) as error:
             raise NoAnswer(f"{keeper}: {error}") from error
 
--- a/walnutpost/keeper/process.py
+++ b/walnutpost/keeper/process.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import time
 from collections import deque
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
+from urllib.parse import parse_qs
 
 from walnutpost.agreement import (
     NOT_LEADER,
@@ -14,6 +16,7 @@
     Compact,
     Due,
     Effect,
+    Entry,
     Input,
     Kind,
     Members,
@@ -32,7 +35,19 @@
     Write,
     Written,
 )
-from walnutpost.fleet import Answer, Fleet, Leases, encode
+from walnutpost.fleet import (
+    Answer,
+    BadCommand,
+    Command,
+    Figures,
+    Fleet,
+    Report,
+    Terms,
+    Watch,
+    decode_at,
+    encode,
+    sight_of,
+)
 from walnutpost.http import BadMessage, Exchange, Limits, Response
 from walnutpost.http.server import serve_on
 from walnutpost.keeper import wire
@@ -42,6 +57,9 @@
 from walnutpost.store import StoreError
 from walnutpost.store.replica import ReplicaStore
 
+LOOK_MOST = 500_000
+HISTORY_MOST = 10_000
+TOLD_MOST = 60  # of one value, in a line for people
 ANSWER_ELECTIONS = 3  # elections that an asker is kept waiting for, at the most
 LOOKS_IN_A_LEASE = 5
 Address = tuple[str, int]
@@ -68,6 +86,8 @@
         seed: int,
         found: bool = False,
         log_most: int = 5000,
+        past_most: int = 100_000,
+        terms: Terms | None = None,
         failed: Callable[[KeeperError], None] | None = None,
     ) -> None:
         self.name = name
@@ -75,7 +95,8 @@
         self._log_most = log_most
         self._failed = failed
         folder.mkdir(parents=True, exist_ok=True)
-        self._store = ReplicaStore(loop, folder / f"{name}.db")
+        self._store = ReplicaStore(loop, folder / f"{name}.db", past_most)
+        self._terms = terms or Terms()
         identity, kept = self._kept(found, tuple(addresses), seed)
         self.raft = Raft(identity, kept, timing, seed)
         self.fleet = Fleet()
@@ -85,7 +106,7 @@
         self._writes: list[Write] = []
         self._askers: dict[str, list[tuple[Task[Any], int]]] = {}
         self._timer: Timer | None = None
-        self._leases: Leases | None = None
+        self._watch: Watch | None = None
         self._applied = 0
         self._count = 0
         self._server = serve_on(
@@ -160,6 +181,8 @@
                     if entry.kind is Kind.COMMAND:
                         answer = self.fleet.apply(entry.index, entry.id, entry.data)
                         self._answer(entry.id, wire.Told(answer))
+                        if self.raft.role is Role.LEADER:
+                            self._log_entry(entry, answer)
                     elif entry.kind is Kind.MEMBERS:
                         self._log.info("keepers", index=entry.index, members=entry.members.all)
                         self._answer(entry.id, wire.Told(Answer(True, entry.index)))
@@ -173,9 +196,10 @@
                 self._answer(id, wire.Told(None, True, why, wire.keeper_of(leader)))
             case RoleChanged(role, term, leader):
                 self._log.info("role", role=role.value, term=term, leader=leader)
-                self._leases = Leases(self._loop.now(), self._lease) if role is Role.LEADER else None
-                if self._leases is not None:
-                    self._loop.call_later(self._lease // LOOKS_IN_A_LEASE, self._look_at_leases)
+                self._watch = None
+                if role is Role.LEADER:
+                    self._watch = Watch(self._loop.now(), self._lease, self._terms)
+                    self._look(self._watch)
 
     def _write(self) -> None:
         """A task: one commit for all that waits. A disk that fails ends the keeper: nothing rests on it."""
@@ -192,15 +216,15 @@
         finally:
             self._writing = False
 
-    def _look_at_leases(self) -> None:
-        leases = self._leases
-        if leases is None or self.ended:
+    def _look(self, watch: Watch) -> None:
+        """Over and over while it leads; what it proposes is logged once it is agreed on."""
+        if watch is not self._watch or self.ended:
             return
-        for command in leases.look(self._loop.now(), self.fleet.state.members):
+        for command in watch.look(self._loop.now(), self.fleet.state):
             self._count += 1
-            self._feed(Propose(f"{self.raft.me}.{self.raft.term}.{self._count}", encode(command)))
-            self._log.info("lease", command=type(command).__name__.lower(), member=command.member)  # type: ignore[union-attr]
-        self._loop.call_later(self._lease // LOOKS_IN_A_LEASE, self._look_at_leases)
+            id = f"{self.raft.me}.{self.raft.term}.{self._count}"
+            self._loop.call_soon(lambda id=id, c=command: self._feed(Propose(id, encode(c, time.time()))))  # type: ignore[misc]
+        self._loop.call_later(min(self._lease // LOOKS_IN_A_LEASE, LOOK_MOST), lambda: self._look(watch))
 
     # Those who ask
 
@@ -244,17 +268,59 @@
                     wanted = wire.decode(request.body, wire.Membership)
                     return self._told(self._ask(wanted.id, Change(wanted.id, wanted.members)))
                 case "POST", wire.REPORTS:
-                    report = wire.decode(request.body, wire.Report)
-                    if self._leases is None:
-                        return self._told(wire.Told(None, True, NOT_LEADER, wire.keeper_of(self.raft.leader)))
-                    self._leases.report(self._loop.now(), report.member, report.incarnation)
-                    return self._told(wire.Told(Answer(True, self._applied)))
+                    return self._told(self._report(wire.decode(request.body, wire.Report)))
+                case "GET", wire.HISTORY:
+                    return self._history(target[2])
                 case "GET", wire.STATE:
                     return self._state(target[2] == "here")
         except wire.BadWire as error:
             return Response(400, body=str(error).encode())
         return Response(404, body=b"no such thing here")
 
+    def _report(self, said: wire.Report) -> wire.Told:
+        if self._watch is None:
+            return wire.Told(None, True, NOT_LEADER, wire.keeper_of(self.raft.leader))
+        figures = None if said.figures is None else Figures(*said.figures)
+        report = Report(said.member, said.incarnation, said.acts, figures)
+        known = self._watch.report(self._loop.now(), report, self.fleet.state)
+        answer = Answer(
+            known, self._applied, "" if known else f"{said.member} is not {said.incarnation} here"
+        )
+        newer = said.acts is not None and self.fleet.state.listed > said.acts
+        return wire.Told(answer, sight=sight_of(self.fleet.state) if newer else None)
+
+    def _history(self, query: str) -> Response:
+        """`after` an index, at the most so many lines; what this keeper has agreed on, oldest first."""
+        asked = parse_qs(query)
+        try:
+            after, most = (
+                int(asked.get(name, [usual])[0]) for name, usual in (("after", "0"), ("most", "1000"))
+            )
+        except ValueError:
+            return Response(400, body=b"after and most: whole numbers are wanted")
+        first, entries = self._store.past(after, min(most, HISTORY_MOST), self._applied)
+        lines = tuple(self._line(entry) for entry in entries)
+        body = wire.encode(wire.History(first, lines))
+        return Response(200, {"Content-Type": "application/msgpack"}, body)
+
+    def _line(self, entry: Entry) -> wire.Line:
+        what, told, at = entry.kind.name.lower(), "", 0.0
+        if entry.kind is Kind.MEMBERS:
+            told = f"votes: {', '.join(entry.members.voters)}; learns: {', '.join(entry.members.learners)}"
+        elif entry.kind is Kind.COMMAND:
+            try:
+                command, at = decode_at(entry.data)
+                what, told = type(command).__name__.lower(), _in_words(command)
+            except BadCommand as error:
+                what, told = "unreadable", str(error)
+        answer = self.fleet.state.answers.get(entry.id) if entry.id else None
+        return wire.Line(entry.index, entry.term, at, entry.id, what, told, answer)
+
+    def _log_entry(self, entry: Entry, answer: Answer) -> None:
+        line = self._line(entry)
+        why = line.told if answer.done else f"{line.told}: {answer.why}"
+        self._log.info("agreed" if answer.done else "not agreed", index=line.index, what=line.what, why=why)
+
     def _state(self, here: bool) -> Response:
         """With `here` what this keeper holds, however old; else what a quorum confirms."""
         if not here:
@@ -272,6 +338,7 @@
             raft.members,
             self.fleet.snapshot(),
             not here,
+            dict(self._watch.waits) if self._watch is not None else {},
         )
         return Response(200, {"Content-Type": "application/msgpack"}, wire.encode(view))
 
@@ -282,3 +349,17 @@
     @staticmethod
     def _refusal(error: BadMessage) -> Response:
         return Response(error.status, body=str(error).encode())
+
+
+def _in_words(command: Command) -> str:
+    """What a command says, short: contents of versions and long lists by their size."""
+    out = []
+    for name in command.__struct_fields__:
+        value = getattr(command, name)
+        if isinstance(value, bytes):
+            value = f"{len(value)} bytes"
+        elif isinstance(value, tuple) and len(str(value)) > TOLD_MOST:
+            value = f"{len(value)} of them"
+        if value not in ("", (), 0.0, None):
+            out.append(f"{name}={value}")
+    return ", ".join(out)
--- a/walnutpost/keeper/wire.py
+++ b/walnutpost/keeper/wire.py
@@ -7,15 +7,16 @@
 import msgspec
 
 from walnutpost.agreement import Members, Message
-from walnutpost.fleet import Answer
+from walnutpost.fleet import Answer, Sight
 
 FORMAT = 1
-MESSAGES, COMMANDS, STATE, REPORTS, MEMBERS = (
+MESSAGES, COMMANDS, STATE, REPORTS, MEMBERS, HISTORY = (
     "/keeper/1/messages",
     "/fleet/1/commands",
     "/fleet/1/state",
     "/fleet/1/reports",
     "/keeper/1/members",
+    "/fleet/1/history",
 )
 BODY_MOST = 32 << 20  # a whole state with the versions it keeps
 
@@ -45,11 +46,14 @@
 
 
 class Report(Record, frozen=True):
-    """A member is there."""
+    """A member is there. `acts`: the entry whose list of workers it acts on; `figures`: its calls since it
+    began, as served, refused, failed, served in their aim. Both None from an agent for its process."""
 
     member: str
     incarnation: str
     format: int = FORMAT
+    acts: int | None = None
+    figures: tuple[int, int, int, int] | None = None
 
 
 class Membership(Record, frozen=True):
@@ -68,6 +72,28 @@
     sure: bool = True
     why: str = ""
     leader: str = ""
+    sight: Sight | None = None
+
+
+class Line(Record, frozen=True):
+    """An entry of the history. `at`: seconds by the clock of the asker's machine. `answer` where it is still
+    remembered."""
+
+    index: int
+    term: int
+    at: float
+    id: str
+    what: str
+    told: str
+    answer: Answer | None
+
+
+class History(Record, frozen=True):
+    """`first`: the oldest entry that this keeper still has; what lies before it is a gap, not an empty
+    time."""
+
+    first: int
+    lines: tuple[Line, ...]
 
 
 class View(Record, frozen=True):
@@ -80,10 +106,11 @@
     members: Members
     state: bytes
     asked: bool
+    waits: dict[str, str] = {}  # by plan: what its judgement waits for, as far as this keeper leads
 
 
 T = TypeVar("T", bound=Record)
-Spoken = Post | Order | Report | Membership | Told | View
+Spoken = Post | Order | Report | Membership | Told | View | History
 
 
 def encode(value: Spoken) -> bytes:
--- a/walnutpost/standins/worker.py
+++ b/walnutpost/standins/worker.py
@@ -20,6 +20,7 @@
 from walnutpost.standins.model import Answer, Faults, Fetch, Held, Lived, Ran, Reaction, WorkerModel
 from walnutpost.standins.store import PackageStore
 
+LEAVE_STEP = 20_000
 GARBAGE = b"\x00\x01\x02 this is no HTTP \xff\xfe\r\n\r\n"
 
 
@@ -303,6 +304,14 @@
     def stop(self) -> None:
         self.server.stop_accepting()
 
+    def leave(self, within: int) -> None:
+        """Refuses what is new as never run, and waits for what has come before."""
+        self.model.draining = True
+        until = self._loop.now() + within
+        while self._waiting and self._loop.now() < until:
+            self._loop.sleep(LEAVE_STEP)
+        self.stop()
+
 
 def _refusal(error: BadMessage) -> Response:
     return Response(error.status, {codec.ERROR_TYPE: "InvalidRequestContentException"}, str(error).encode())
--- a/walnutpost/store/replica.py
+++ b/walnutpost/store/replica.py
@@ -4,6 +4,7 @@
 
 import sqlite3
 from collections.abc import Sequence
+from contextlib import closing
 from pathlib import Path
 
 import msgspec
@@ -19,16 +20,19 @@
     term integer not null, voted text not null, snapshot blob not null
 );
 create table if not exists entries (place integer primary key, record blob not null);
+create table if not exists past (place integer primary key, record blob not null);
 """
 _snapshots = msgspec.msgpack.Decoder(Snapshot)
 _entries = msgspec.msgpack.Decoder(Entry)
 
 
 class ReplicaStore(Database):
-    """One replica's disk. `identity` is the replica's name, made with the file: a new file, a new name."""
+    """One replica's disk. `identity` is the replica's name, made with the file: a new file, a new name.
+    Entries that a snapshot has taken the place of are kept for people, `past_most` of them at the most."""
 
-    def __init__(self, loop: Loop, path: Path) -> None:
+    def __init__(self, loop: Loop, path: Path, past_most: int = 100_000) -> None:
         super().__init__(loop, path, SCHEMA)
+        self._path, self._past_most = path, past_most
 
     def load(self) -> tuple[str, Kept] | None:
         """None where nothing was ever kept here. Raises StoreError for what can't be read whole."""
@@ -69,6 +73,27 @@
                 db.executemany("insert or replace into entries values (?, ?)", rows)
                 if w.snapshot is not None:
                     db.execute("update replica set snapshot = ?", (msgspec.msgpack.encode(w.snapshot),))
-                    db.execute("delete from entries where place <= ?", (w.snapshot.index,))
+                    covered = (w.snapshot.index,)
+                    db.execute(
+                        "insert or replace into past select place, record from entries where place <= ?",
+                        covered,
+                    )
+                    db.execute("delete from entries where place <= ?", covered)
+                    db.execute("delete from past where place <= ?", (w.snapshot.index - self._past_most,))
 
         self.change(change)
+
+    def past(self, after: int, most: int, last: int) -> tuple[int, list[Entry]]:
+        """The oldest entry that is still here, and what follows `after`, up to `last`. Raises StoreError.
+        Done while the loop runs, beside the commits: a reader of a WAL file waits for none of them."""
+        both = "(select place, record from past union select place, record from entries)"
+        try:
+            with closing(sqlite3.connect(f"{self._path.absolute().as_uri()}?mode=ro", uri=True)) as db:
+                (first,) = db.execute(f"select coalesce(min(place), 0) from {both}").fetchone()
+                rows = db.execute(
+                    f"select record from {both} where place > ? and place <= ? order by place limit ?",
+                    (after, last, most),
+                ).fetchall()
+            return first, [_entries.decode(record) for (record,) in rows]
+        except (sqlite3.Error, msgspec.MsgspecError) as error:
+            raise StoreError(str(error)) from error
--- a/walnutpost/trials/clients.py
+++ b/walnutpost/trials/clients.py
@@ -6,6 +6,7 @@
 import json
 import math
 from collections import defaultdict
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from urllib.parse import quote
@@ -36,9 +37,12 @@
     tries: int = 0
 
 
+Where = Callable[[], tuple[str, int] | None]  # a front end's address now; None where it is not up
+
+
 @dataclass(slots=True)
 class _Front:
-    address: tuple[str, int]
+    where: Where
     idle: list[Connection] = field(default_factory=list)
 
 
@@ -46,12 +50,12 @@
     """All clients of a trial, on one loop. `results` grows as calls end."""
 
     def __init__(
-        self, loop: Loop, script: Script, config: Config, fronts: list[tuple[str, int]], tap: Tap | None
+        self, loop: Loop, script: Script, config: Config, fronts: Sequence[Where], tap: Tap | None
     ) -> None:
         self._loop = loop
         self._script = script
         self._site = config.site
-        self._fronts = [_Front(address) for address in fronts]
+        self._fronts = [_Front(where) for where in fronts]
         self._tap = tap
         self._rng = Random(script.seed)
         self._count = 0
@@ -180,7 +184,8 @@
         rng: Random,
         only: _Front | None = None,
     ) -> Response | None | str:
-        front = only or rng.choice(self._fronts)
+        there = [front for front in self._fronts if front.where() is not None]
+        front = only or rng.choice(there or self._fronts)
         connection = None
         body = json.dumps({"trial": call}).encode() if call else b""
         try:
@@ -205,8 +210,11 @@
             if not connection.stream.stale():
                 return connection
             connection.close()
+        address = front.where()
+        if address is None:
+            raise ConnectionRefusedError("nobody is there")
         with self._loop.timeout(CONNECT_TIMEOUT):
-            return Connection.open(self._loop, front.address, self._tap, ROLE)
+            return Connection.open(self._loop, address, self._tap, ROLE)
 
 
 def _invoke(function: str) -> str:
--- /dev/null
+++ b/walnutpost/trials/fleet_stage.py
@@ -0,0 +1,320 @@
+"""The processes of a fleet's trial, the relays between them, and an observer who asks them themselves."""
+
+from __future__ import annotations
+
+import json
+import re
+import shutil
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from walnutpost.config import Config
+from walnutpost.fleet import Budget, Fleet, SetBudgets, State
+from walnutpost.http import BadMessage, Connection
+from walnutpost.keeper import KeeperClient, NoAnswer
+from walnutpost.loop import Group, Loop, Timeout
+from walnutpost.trials.facts import SUFFIX, facts_of, write_facts
+from walnutpost.trials.fleet_script import FleetScript
+from walnutpost.trials.mesh import Mesh
+
+SECOND = 1_000_000
+START_PATIENCE = 60 * SECOND
+LOOK_EVERY, ASK_WITHIN = 30_000, 1_000_000
+ADDRESS = re.compile(r"address\W+([\d.]+):(\d+)")
+Address = tuple[str, int]
+
+
+class StageError(Exception):
+    """A process did not start."""
+
+
+@dataclass(slots=True)
+class Gone:
+    """A time in which a member was seen down: at `first` and at `last`, microseconds. `hit`: the script had
+    done something to it, so that nobody had to agree."""
+
+    member: str
+    first: int
+    last: int
+    hit: bool
+
+
+@dataclass
+class FleetStage:
+    loop: Loop
+    config: Config
+    script: FleetScript
+    folder: Path
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    starts: dict[str, int] = field(default_factory=dict)
+    gone: list[Gone] = field(default_factory=list)
+    hit: set[str] = field(default_factory=set)
+    failures: list[str] = field(default_factory=list)
+    watching: bool = False
+    mesh: Mesh = field(init=False)
+    _open: dict[str, Gone] = field(default_factory=dict)
+    _up: dict[str, Address] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        fleet = self.config.fleet
+        assert fleet is not None
+        self.keepers = tuple(f"k{n + 1}" for n in range(self.script.keepers))
+        self.fronts = tuple(f"f{n}" for n in range(self.script.front_ends))
+        self.workers = tuple(w.name for w in fleet.workers)
+        self.members = (*self.fronts, *self.workers)
+        self.mesh = Mesh(self.loop, (*self.keepers, *self.members), self.where)
+        self.zone = {m: self.script.zones[n % len(self.script.zones)] for n, m in enumerate(self.fronts)}
+        self.zone |= {m: self.script.zones[n % len(self.script.zones)] for n, m in enumerate(self.workers)}
+
+    # Starting
+
+    def start(self) -> None:
+        """Keepers that agree on the budgets, then all members; raises StageError."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        write_facts(self.folder, facts_of(self.config))
+        self._write("site", self.config.model_dump(mode="json", by_alias=True))
+        self.spawn("store", "store", str(self.folder / "site"))
+        self.until(lambda: self._said("store", '"listening"'), "the store")
+        for name in self.keepers:
+            self.start_keeper(name, "--found")
+        self.until(lambda: all(map(self.where, self.keepers)), "keepers")
+        told = tuple(Budget(b.kind, b.zone, b.most, b.share) for b in self.script.budgets)
+        self.client(START_PATIENCE).command("budgets", SetBudgets(told))
+        for name in self.members:
+            self.start_agent(name)
+        self.until(lambda: len(self.state().members) == len(self.members), "members")
+        self.until(lambda: self.look() == set(), "all to be up")
+        self.watching = True
+
+    def _write(self, name: str, told: dict[str, Any]) -> str:
+        (self.folder / name).write_text(json.dumps(told))
+        return str(self.folder / name)
+
+    def spawn(self, name: str, *arguments: str) -> None:
+        self.starts[name] = self.starts.get(name, 0) + 1
+        with self._log(name).open("wb") as out:
+            command = [sys.executable, "-m", "walnutpost.cli", "--log", "json", *arguments]
+            self.processes[name] = subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=out, stderr=out)
+
+    def _log(self, name: str) -> Path:
+        return self.folder / f"{name}.{self.starts[name]}.log"
+
+    def _said(self, name: str, text: str) -> str:
+        """The first line of its present life with this text."""
+        with suppress(OSError):
+            return next((line for line in self._log(name).read_text().splitlines() if text in line), "")
+        return ""
+
+    def _file(self, name: str) -> dict[str, Any]:
+        """Its configuration: each other process stands at the relay that leads there."""
+        script = self.script
+        at = {k: self.mesh.address(name, k) for k in self.keepers if k != name}
+        lines: list[dict[str, Any]] = [
+            {"name": k, "address": "{}:{}".format(*at.get(k, ("127.0.0.1", 1)))} for k in self.keepers
+        ]
+        for line in lines:
+            if line["name"] == name:
+                line["listen"] = "127.0.0.1:0"
+        return {
+            "keepers": lines,
+            "judge": script.judge.model_dump(mode="json"),
+            "election_ms": script.election_ms,
+            "heartbeat_ms": script.heartbeat_ms,
+            "lease_ms": script.lease_ms,
+            "begin_within_ms": script.begin_within_ms,
+        }
+
+    def start_keeper(self, name: str, *options: str) -> None:
+        self.spawn(name, "keeper", self._write(f"{name}.json", self._file(name)), "--name", name, *options)
+
+    def start_agent(self, name: str) -> None:
+        base = [sys.executable, "-m", "walnutpost.cli", "--log", "json"]
+        capture = ["--capture", str(self.folder / (name + SUFFIX))]
+        store = ADDRESS.search(self._said("store", '"listening"'))
+        assert store is not None
+        if name in self.fronts:
+            line = {"follows": True, "kind": "front_end"}
+            command = [*base, "serve", "{config}", "--own", self._own(name), *capture]
+        else:
+            line = {"kind": "worker"}
+            command = [*base, "worker", "{config}", "--name", name, "--cold", *capture]
+            command += ["--store", f"{store[1]}:{store[2]}"]
+        line |= {"member": name, "zone": self.zone[name], "command": command, "first": "site"}
+        line |= {"ready": '"listening"'}
+        config = self._write(f"{name}.json", self._file(name) | {"agents": [line]})
+        self.spawn(name, "agent", config, "--member", name)
+
+    def _own(self, name: str) -> str:
+        index = self.fronts.index(name)
+        front = {
+            "listen": "127.0.0.1:0",
+            "index": index,
+            "front_ends": len(self.fronts),
+            "seed": self.script.seed * 1000 + index,
+            "store": f"{name}.db",
+            "workers": [],
+        }
+        keepers = {k: "{}:{}".format(*self.mesh.address(name, k)) for k in self.keepers}
+        agreement = {"keepers": keepers, "member": name, "report_ms": self.script.report_ms}
+        return self._write(f"{name}.own", {"front": front, "agreement": agreement})
+
+    # Asking
+
+    def where(self, name: str) -> Address | None:
+        """Where a keeper listens now."""
+        found = ADDRESS.search(self._said(name, '"event": "keeper"')) if name in self.processes else None
+        return None if found is None else (found[1], int(found[2]))
+
+    def client(self, patience: int) -> KeeperClient:
+        """Beside the relays."""
+        known = {n: w for n in self.keepers if (w := self.where(n)) is not None}
+        return KeeperClient(self.loop, known, patience, patience // 2)
+
+    def state(self) -> State:
+        """What a quorum confirms; waits until one does."""
+        while True:
+            with suppress(NoAnswer):
+                return self.client(5 * SECOND).state()[1].state
+            self.loop.sleep(LOOK_EVERY)
+
+    def glance(self) -> State | None:
+        """What any keeper holds; the newest of those that answer."""
+        found: list[State] = []
+        for name in [k for k in self.keepers if self.where(k) is not None]:
+            with suppress(NoAnswer):
+                found.append(Fleet.restore(self.client(SECOND).here(name).state).state)
+        return max(found, key=lambda state: state.index, default=None)
+
+    def leader(self) -> str:
+        while True:
+            with suppress(NoAnswer):
+                return self.client(5 * SECOND).state()[0].keeper
+            self.loop.sleep(LOOK_EVERY)
+
+    def operator(self, *words: str) -> str:
+        """What `walnutpost fleet` prints, by a configuration beside the relays."""
+        lines = [
+            {"name": k, "address": "{}:{}".format(*w)}
+            for k in self.keepers
+            if (w := self.where(k)) is not None
+        ]
+        config = self._write("operator.json", {"keepers": lines})
+        run = [sys.executable, "-m", "walnutpost.cli", "fleet", words[0], config, *words[1:]]
+        done = self.loop.blocking(lambda: subprocess.run(run, capture_output=True, text=True))
+        if done.returncode:
+            self.failures.append(f"fleet {' '.join(words)}: {done.stderr.strip()}")
+        return done.stdout
+
+    def until(self, condition: Callable[[], object], what: str, patience: int = START_PATIENCE) -> None:
+        end = self.loop.now() + patience
+        while not condition():
+            if self.loop.now() > end:
+                raise StageError(f"waited in vain for {what}; see {self.folder}")
+            self.loop.sleep(LOOK_EVERY)
+
+    # The observer
+
+    def front_at(self, name: str) -> Address | None:
+        return self._up.get(name)
+
+    def look(self) -> set[str]:
+        """Asks each member's process itself, all at once; who does not serve."""
+        down: set[str] = set()
+
+        def ask(name: str) -> None:
+            at = self.loop.now()
+            if self._answers(name):
+                self._open.pop(name, None)
+                return
+            down.add(name)
+            if name not in self._open:
+                self._open[name] = Gone(name, self.loop.now(), at, False)
+                if self.watching:
+                    self.gone.append(self._open[name])
+            gone = self._open[name]
+            gone.last, gone.hit = at, gone.hit or name in self.hit
+
+        with Group(self.loop) as group:
+            for name in self.members:
+                group.spawn(ask, name)
+        return down
+
+    def _answers(self, name: str) -> bool:
+        output = self.folder / "agents" / f"{name}.out"
+        try:
+            found = ADDRESS.search(output.read_text())
+            if found is None:
+                raise ConnectionRefusedError("it does not listen yet")
+            address = found[1], int(found[2])
+            target = "/v2/health/ready" if name in self.workers else "/"
+            with self.loop.timeout(ASK_WITHIN):
+                connection = Connection.open(self.loop, address)
+                try:
+                    answered = connection.ask("GET", target).status
+                finally:
+                    connection.close()
+        except (OSError, Timeout, BadMessage):
+            self._up.pop(name, None)
+            return False
+        self._up[name] = address
+        return answered != 503
+
+    def watch(self) -> None:
+        """Until cancelled."""
+        while True:
+            self.look()
+            self.loop.sleep(LOOK_EVERY)
+
+    # What goes wrong
+
+    def touch(self, name: str) -> None:
+        """Whatever happens to a member until it is up again is the script's doing."""
+        self.hit.add(name)
+
+    def clear(self, name: str) -> None:
+        """Once it is up again: what happens to it then is its own doing."""
+        self.until(lambda: name not in self._open, f"{name} to be back")
+        self.hit.discard(name)
+
+    def kill(self, name: str) -> None:
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def back(self, name: str) -> None:
+        if name in self.keepers:
+            self.start_keeper(name)
+        else:
+            self.start_agent(name)
+
+    def child(self, name: str) -> int | None:
+        with suppress(OSError, ValueError):
+            return int((self.folder / "agents" / f"{name}.pid").read_text().split()[0])
+        return None
+
+    def lose_disk(self, name: str) -> None:
+        self.kill(name)
+        for path in (self.folder / "keepers").glob(f"{name}.db*"):
+            path.unlink()
+
+    def stop(self) -> None:
+        """Agents first: they take their processes with them."""
+        for name in sorted(self.processes, key=lambda n: n in (*self.keepers, "store")):
+            process = self.processes[name]
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for name, process in self.processes.items():
+            try:
+                process.wait(timeout=30)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+                self.failures.append(f"{name} did not end when asked")
+        shutil.rmtree(self.folder / "keepers", ignore_errors=True)
--- a/walnutpost/trials/run.py
+++ b/walnutpost/trials/run.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -60,7 +61,7 @@
         stage.start()
         log.info("stage stands", folder=str(folder), processes=len(stage.children))
         tap = Capture(folder / f"clients{SUFFIX}", "client", "clients", loop.now)
-        clients = Clients(loop, script, stage.config, stage.fronts, tap)
+        clients = Clients(loop, script, stage.config, [partial(lambda a: a, a) for a in stage.fronts], tap)
         with Group(loop) as group:
             for number, trouble in enumerate(script.troubles):
                 group.spawn(make, stage, trouble, Random(script.seed * 7919 + number), log, name=trouble.what)
--- a/walnutpost/trials/table.py
+++ b/walnutpost/trials/table.py
@@ -6,6 +6,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from walnutpost.fleet import State
 from walnutpost.trials.audit import BREAKS_SHOWN, Verdict
 from walnutpost.trials.clients import Result, summary
 from walnutpost.trials.usage import Compared
@@ -47,6 +48,14 @@
     return "\n".join(lines)
 
 
+def plans_table(state: State) -> str:
+    rows = [["plan", "to", "done", "how it ended"]]
+    for p in state.plans.values():
+        ended = p.ended or (f"halted: {p.halted}" if p.halted else "under way")
+        rows.append([p.id, p.version or "out and back", f"{len(p.done)} of {len(p.order)}", ended])
+    return aligned(rows)
+
+
 def usage_table(compared: list[Compared]) -> str:
     """Memory-seconds: the workers' own records against the ledgers; the gaps are one sum, beside each."""
     head = ["tenant", "recorded MB s", "metered MB s", "off %", "of it estimated", "gaps at most", "covered"]
