--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import signal
 import subprocess
 import sys
 from collections.abc import Callable
@@ -12,7 +13,7 @@
 
 from tests.test_keeper import NAMES, Keepers
 from walnutpost.agent import Agent, version_of
-from walnutpost.agent.process import process_began
+from walnutpost.agent.process import processes_of
 from walnutpost.fleet import FRONT_END, Budget, SetBudgets, State
 from walnutpost.loop import Loop
 
@@ -20,12 +21,14 @@
 CHILD = """
 import json, os, signal, sys, time
 told = json.load(open(sys.argv[1]))
+time.sleep(told.get("slow", 0))
 if told["version"] in told.get("bad", []): sys.exit("it does not start")
 signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
 print("listening", os.getpid(), told["version"], flush=True)
 for _ in range(600): time.sleep(0.1)
 """
 V1, V2 = b'{"version": "v1"}', b'{"version": "v2"}'
+SLOW = b'{"version": "v2", "slow": 3}'
 BAD = b'{"version": "v3", "bad": ["v3"]}'
 
 
@@ -146,20 +149,51 @@
 
 def test_an_agent_killed_with_a_permit_keeps_the_place_out_until_it_is_back(tmp_path: Path) -> None:
     def script(keepers: Keepers, agents: Agents) -> None:
-        agents.release("r", V2)
-        agents.until(lambda: agents.state().permits)
-        (permit,) = agents.state().permits.values()
-        name = permit.member
+        agents.release("r", SLOW)
+        held: list[str] = []
+
+        def begun() -> list[str]:
+            held[:] = [p.member for p in agents.state().permits.values() if p.began]
+            return held
+
+        agents.until(begun)
+        (name,) = held
         agents.running[name].kill()
         agents.running[name].wait()
-        left = agents.child(name)
+        agent = json.loads((agents.folder / "agents" / f"{name}.json").read_text())["agent"]
+        left = processes_of(agent)
         keepers.loop.sleep(2_000_000)
-        if agents.state().permits:  # else it was done in time
-            assert [p.member for p in agents.state().permits.values()] == [name]
+        assert [p.member for p in agents.state().permits.values()] == [name]
         agents.start(name)
         agents.until(lambda: agents.state().plans["r"].done == [name])
         assert agents.most_out <= 1 and not agents.state().permits
-        assert left is None or process_began(left[0]) is None, "what it left behind has ended"
+        now = processes_of(agent)
+        assert len(now) == 1 and not set(left) & set(now), "what it left behind has ended"
+
+    play(tmp_path, script)
+
+
+def test_without_a_quorum_an_operator_is_obeyed_and_the_history_hears_of_it(tmp_path: Path) -> None:
+    def script(keepers: Keepers, agents: Agents) -> None:
+        before = agents.child("f0")
+        agents.operator("cycle", "f1", "--plan", "c")
+        agents.until(lambda: agents.state().plans["c"].ended)
+        paused = [name for name in NAMES if name != keepers.leader()]
+        for name in paused:
+            keepers.signal(name, signal.SIGSTOP)
+        agents.operator("cycle", "f0", "--alone", "--operator", "jo", "--why", "nobody answers")
+        agents.until(lambda: agents.child("f0") not in (None, before), watch=False)
+        for name in paused:
+            keepers.signal(name, signal.SIGCONT)
+        agents.until(lambda: agents.state().alone)
+        assert "f0 by jo: nobody answers" in agents.operator("status")
+        told = json.loads(agents.operator("history", "--format", "json"))
+        kinds = [line["what"] for line in told["lines"] if line["answer"] and line["answer"]["done"]]
+        assert kinds.index("began") < kinds.index("back") < kinds.index("alone") and told["first"] == 1
+        assert "f3" in agents.operator("members") and "1 of 1" in agents.operator("plan", "c")
+        assert agents.operator("budgets").strip() == "front_ends in all: 1"
+        agents.operator("forget", "f3")
+        assert "f3" not in agents.state().members
 
     play(tmp_path, script)
 
--- a/walnutpost/agent/process.py
+++ b/walnutpost/agent/process.py
@@ -41,6 +41,7 @@
 
 LOOK_EVERY, POLL_EVERY = 500_000, 50_000
 KILL_AFTER = 10_000_000  # from the request to end
+AGENT = "WALNUTPOST_AGENT"  # whose a process is; outlives the agent
 INCARNATION = "WALNUTPOST_INCARNATION"  # where a process finds what its agent has told the keepers of it
 ADDRESS = re.compile(rb"address\W+(\d+\.\d+\.\d+\.\d+:\d+)")
 
@@ -59,13 +60,14 @@
     return folder / f"{member}.by-hand"
 
 
-def process_began(pid: int) -> int | None:
-    """When the process began, in the kernel's ticks; None where there is none, or a dead one."""
-    try:
-        words = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    except OSError:
-        return None
-    return None if words[0] == "Z" else int(words[19])
+def processes_of(agent: str) -> list[int]:
+    """The processes on this machine that this agent, in whichever of its lives, has started."""
+    mark, found = f"{AGENT}={agent}".encode(), []
+    for path in Path("/proc").glob("[0-9]*/environ"):
+        with suppress(OSError):  # it has ended, or is somebody else's
+            if mark in path.read_bytes().split(b"\0"):
+                found.append(int(path.parent.name))
+    return found
 
 
 class Agent:
@@ -112,7 +114,7 @@
         self._child: subprocess.Popen[bytes] | None = None
         self._incarnation = ""
         self._ready_told = False
-        self._output, self._mark = folder / f"{member}.out", folder / f"{member}.pid"
+        self._output = folder / f"{member}.out"
         self._to_tell: deque[tuple[str, Command]] = deque()
         self._some = Event(loop)
         self.ended = False
@@ -129,18 +131,14 @@
         self._look_for_orders()
 
     def _end_left_over(self) -> None:
-        """An agent that was killed leaves its process behind: it ends before another takes its place."""
-        try:
-            pid, began = map(int, self._mark.read_text().split())
-        except (OSError, ValueError):
-            return
+        """An agent that was killed leaves its process behind: it ends before another takes its place. It is
+        found by what it was started with: a note of its number might not have been written any more."""
         wait = KILL_AFTER
-        while (
-            process_began(pid) == began
-        ):  # the same process, not another one that was given its number since
-            with suppress(ProcessLookupError):
-                os.kill(pid, signal.SIGTERM if wait > 0 else signal.SIGKILL)
-            self._log.info("left over", member=self._member, pid=pid)
+        while left := processes_of(self.steward.agent):
+            for pid in left:
+                with suppress(ProcessLookupError):
+                    os.kill(pid, signal.SIGTERM if wait > 0 else signal.SIGKILL)
+            self._log.info("left over", member=self._member, pids=left)
             wait -= LOOK_EVERY
             self._loop.sleep(LOOK_EVERY)
 
@@ -295,9 +293,8 @@
                     stdout=out,
                     stderr=out,
                     stdin=subprocess.DEVNULL,
-                    env={**os.environ, INCARNATION: self._incarnation},
+                    env={**os.environ, AGENT: self.steward.agent, INCARNATION: self._incarnation},
                 )
-            self._replace(self._mark, f"{self._child.pid} {process_began(self._child.pid)}".encode())
         except OSError as error:
             self._log.error("launch failed", member=self._member, why=str(error))
             self._child = None
--- a/walnutpost/cli/keepers.py
+++ b/walnutpost/cli/keepers.py
@@ -11,7 +11,7 @@
 from typing import Any, NoReturn, TypeVar
 
 import click
-from msgspec import to_builtins
+from msgspec.structs import asdict
 
 from walnutpost.agent import Agent, AgentError, order_path, version_of
 from walnutpost.agreement import Members, Timing
@@ -344,7 +344,8 @@
 
     keeper, told = _with(config, log, work)
     if form == "json":
-        click.echo(json.dumps({"keeper": keeper, "first": told.first, "lines": to_builtins(told.lines)}))
+        lines = [asdict(line) | {"answer": line.answer and asdict(line.answer)} for line in told.lines]
+        click.echo(json.dumps({"keeper": keeper, "first": told.first, "lines": lines}))
         return
     if told.first > after + 1:
         click.echo(f"entries before {told.first} are not kept by {keeper} any more", err=True)
--- a/walnutpost/trials/fleet_stage.py
+++ b/walnutpost/trials/fleet_stage.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from typing import Any
 
+from walnutpost.agent.process import processes_of
 from walnutpost.config import Config
 from walnutpost.fleet import Budget, Fleet, SetBudgets, State
 from walnutpost.http import BadMessage, Connection
@@ -295,8 +296,9 @@
             self.start_agent(name)
 
     def child(self, name: str) -> int | None:
-        with suppress(OSError, ValueError):
-            return int((self.folder / "agents" / f"{name}.pid").read_text().split()[0])
+        with suppress(OSError, ValueError, IndexError):
+            known = json.loads((self.folder / "agents" / f"{name}.json").read_text())
+            return processes_of(known["agent"])[0]
         return None
 
     def second_agent(self, name: str) -> str:
