--- a/walnutpost/cli/keepers.py
+++ b/walnutpost/cli/keepers.py
@@ -15,7 +15,7 @@
 
 from walnutpost.agent import Agent, AgentError, order_path, version_of
 from walnutpost.agreement import Members, Timing
-from walnutpost.cli.configs import CONFIG, end
+from walnutpost.cli.configs import CONFIG, config_of, end
 from walnutpost.cli.run import make_loop, stop_event
 from walnutpost.config import ConfigError, keys_of, load
 from walnutpost.config.keepers import Keepers
@@ -435,9 +435,12 @@
 @click.argument("content", type=click.Path(path_type=Path))
 @click.option("--steps", default="0.25,1", show_default=True, help="Shares of the members, rising to 1.")
 @click.option("--back/--no-back", default=True, help="On a bad judgement go back to what most run now.")
+@click.option("--check/--no-check", default=True, help="Whether CONTENT must be a front end's configuration.")
 @PLAN
 @click.pass_obj
-def release(log: Any, config: Path, content: Path, steps: str, back: bool, plan: str | None) -> None:
+def release(
+    log: Any, config: Path, content: Path, steps: str, back: bool, check: bool, plan: str | None
+) -> None:
     """Bring all front ends to the version in the file CONTENT, one first, then by steps."""
     try:
         data, shares = content.read_bytes(), tuple(float(share) for share in steps.split(","))
@@ -445,6 +448,8 @@
         end(f"{content}: cannot be read: {error.strerror}")
     except ValueError:
         end(f"--steps: found {steps!r}; wanted shares that rise to 1, as 0.25,1")
+    if check:
+        config_of(content)
     name = _plan_name("release", plan)
     version = version_of(data)
 
