--- a/walnutpost/daemon/fleet.py
+++ b/walnutpost/daemon/fleet.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from walnutpost.agent import INCARNATION
 from walnutpost.config.model import Agreement, address_of
 from walnutpost.config.settings import us
 from walnutpost.daemon.core import Core
@@ -21,8 +22,6 @@
 from walnutpost.keeper.wire import BadWire, Report, Told
 from walnutpost.loop import Loop
 
-INCARNATION = "WALNUTPOST_INCARNATION"  # set by an agent, which has told the keepers of it
-
 
 class CountedCore(Core):
     """Counts how calls end, for the judgement of a release. `aims`: microseconds, by function."""
--- a/walnutpost/trials/fleet_run.py
+++ b/walnutpost/trials/fleet_run.py
@@ -7,7 +7,7 @@
 import signal
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager, suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -36,7 +36,6 @@
     failures: list[str]
     most_out: dict[str, int]
     state: State
-    notes: list[str] = field(default_factory=list)
 
     @property
     def good(self) -> bool:
--- a/walnutpost/trials/fleet_stage.py
+++ b/walnutpost/trials/fleet_stage.py
@@ -308,8 +308,7 @@
         folder = self.folder / second
         folder.mkdir()
         (folder / "site").write_text((self.folder / "site").read_text())
-        own = json.loads((self.folder / f"{name}.own").read_text())
-        (folder / f"{name}.own").write_text(json.dumps(own))
+        (folder / f"{name}.own").write_text((self.folder / f"{name}.own").read_text())
         command = [part.replace(str(self.folder), str(folder)) for part in told["agents"][0]["command"]]
         at = command.index("--capture")
         told["agents"][0]["command"] = command[:at]
