Every package becomes a member of a workspace, with tests and declarations of its own

Need: one distribution declared every library for everybody, so an embedder of the decisions got greenlet, pydantic and sqlite, and nothing held a package to what it says it uses.

Change: paths only. walnutpost/NAME goes to packages/NAME/src/walnutpost/NAME, tests beside it, a pyproject.toml for each member; walnutpost is a namespace. rules.py and interface.py become packages of one file.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -14,8 +14,8 @@
 from random import Random
 from typing import TypeVar
 
-from tests.fleet import Fleet as TestFleet
-from tests.fleet import Log
+from fleet_rig import Fleet as TestFleet
+from fleet_rig import Log
 from walnutpost.config import Config, laid_over, load, parse
 from walnutpost.fleet import (
     Answer,
--- a/benchmarks/library.py
+++ b/benchmarks/library.py
@@ -11,8 +11,8 @@
 from collections import deque
 from dataclasses import replace
 
-from tests.rig import SAFE
-from tests.rig import SETTINGS as BASE
+from rig import SAFE
+from rig import SETTINGS as BASE
 from walnutpost.gateway import (
     AttemptDone,
     CallArrived,
--- a/benchmarks/schedules.py
+++ b/benchmarks/schedules.py
@@ -14,7 +14,7 @@
 from functools import partial
 from random import Random
 
-from tests.test_schedules import START, brute_force, live_through, random_cron
+from test_schedules import START, brute_force, live_through, random_cron
 from walnutpost.loop.timers import WheelTimers
 from walnutpost.schedules import BadSchedule, Planner, Schedule, check_cron, due_times
 
--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -15,14 +15,13 @@
 from types import FrameType
 from typing import Any
 
-import walnutpost
 from benchmarks.calls import FORK as fork
 from benchmarks.calls import PAYLOAD, Served, echo, front_end, load, worker
 from walnutpost.http import encode_request
 from walnutpost.http.server import Server, serve_on
 from walnutpost.loop import Loop
 
-ROOT = str(Path(walnutpost.__file__).parent)
+ROOT = str(Path(__file__).parent.parent / "packages")
 EVERY = 0.002
 SECONDS = 5.0
 CONNECTIONS, OPEN_CALLS = 4_000, 2_000
--- a/tests/test_agent.py
+++ b/packages/agent/tests/test_agent.py
@@ -11,7 +11,7 @@
 from contextlib import suppress
 from pathlib import Path
 
-from tests.test_keeper import NAMES, Keepers
+from test_keeper import NAMES, Keepers
 from walnutpost.agent import Agent, version_of
 from walnutpost.agent.process import processes_of
 from walnutpost.fleet import FRONT_END, Budget, SetBudgets, State
--- a/tests/test_agreement.py
+++ b/packages/agreement/tests/test_agreement.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.raft_rig import TIMING, Cluster
+from raft_rig import TIMING, Cluster
 from walnutpost.agreement import (
     Change,
     Compact,
--- a/tests/test_config.py
+++ b/packages/cli/tests/test_config.py
@@ -9,11 +9,11 @@
 import pytest
 from click.testing import CliRunner
 
-from tests.fleet import BASE, merged
+from fleet_rig import BASE, merged
 from walnutpost.cli import main
 from walnutpost.config import Config, ConfigError, parse
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[3]
 
 WRONG: list[tuple[dict[str, Any], str, str]] = [
     ({"front": {"lissten": "x"}}, "front.lissten", "not known here"),
--- a/tests/test_usage_cli.py
+++ b/packages/cli/tests/test_usage_cli.py
@@ -13,8 +13,8 @@
 import pytest
 from click.testing import CliRunner
 
-from tests.fleet import BASE, merged
-from tests.test_metering import START, fleet, meters, traffic
+from fleet_rig import BASE, merged
+from test_metering import START, fleet, meters, traffic
 from walnutpost.cli import main
 from walnutpost.cli.usage import Ledgers
 
--- a/tests/test_lists.py
+++ b/packages/daemon/tests/test_lists.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from tests.fleet import SECOND, Fleet
+from fleet_rig import SECOND, Fleet
 
 EVERY = SECOND  # well beyond the front end's own looking
 
--- a/tests/test_metering.py
+++ b/packages/daemon/tests/test_metering.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from tests.fleet import SECOND, Fleet
+from fleet_rig import SECOND, Fleet
 from walnutpost.daemon.meters import Meters
 from walnutpost.gateway import Order
 from walnutpost.loop import VirtualClock
--- a/tests/test_drains.py
+++ b/packages/fleet/tests/test_drains.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from tests.test_fleet import Keeper
-from tests.test_steward import SECOND, Place
+from test_fleet import Keeper
+from test_steward import SECOND, Place
 from walnutpost.fleet import (
     FRONT_END,
     WORKER,
--- a/tests/test_invoke.py
+++ b/packages/fronts/tests/test_invoke.py
@@ -15,7 +15,7 @@
 import pytest
 from botocore.config import Config as BotoConfig
 
-from tests.fleet import INVOKE, SECOND, Fleet
+from fleet_rig import INVOKE, SECOND, Fleet
 from walnutpost.http import Response
 from walnutpost.loop import RealClock
 
--- a/tests/test_timers.py
+++ b/packages/fronts/tests/test_timers.py
@@ -10,8 +10,8 @@
 import pytest
 from click.testing import CliRunner
 
-from tests.fleet import BASE, SECOND, Fleet, merged
-from tests.test_invoke import crashing
+from fleet_rig import BASE, SECOND, Fleet, merged
+from test_invoke import crashing
 from walnutpost.cli import main
 from walnutpost.config import Config, parse
 from walnutpost.config.settings import own_schedules
--- a/tests/test_gateway.py
+++ b/packages/gateway/tests/test_gateway.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.rig import SAFE, SECOND, SETTINGS, UNSAFE
+from rig import SAFE, SECOND, SETTINGS, UNSAFE
 from walnutpost.gateway import (
     Abandon,
     Answered,
--- a/tests/test_tls.py
+++ b/packages/links/tests/test_tls.py
@@ -15,7 +15,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.fleet import BASE, Fleet, merged
+from fleet_rig import BASE, Fleet, merged
 from walnutpost.cli import main
 from walnutpost.http import Connection, Exchange, Response, encode_request
 from walnutpost.http.server import serve_on
--- a/tests/test_kept.py
+++ b/packages/node/tests/test_kept.py
@@ -6,8 +6,8 @@
 from types import CodeType, FrameType, FunctionType, ModuleType
 from typing import Any
 
-from tests.node_rig import World, play
-from tests.rig import SECOND, SETTINGS
+from node_rig import World, play
+from rig import SECOND, SETTINGS
 from walnutpost.gateway import (
     Answered,
     Arm,
--- a/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -10,7 +10,7 @@
 import msgpack
 import pytest
 
-from tests.node_rig import SECOND, Words, Worker, World, play, reply
+from node_rig import SECOND, Words, Worker, World, play, reply
 from walnutpost.gateway import HoldDone, Order
 from walnutpost.interface import Outcome
 from walnutpost.node.clients import OPEN_MOST, SILENT_TIME
--- a/tests/test_node_protocols.py
+++ b/packages/node/tests/test_node_protocols.py
@@ -13,7 +13,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.node_rig import CONFIG, config_text
+from node_rig import CONFIG, config_text
 from walnutpost.interface import ListKind, Outcome, Warmth, WorkerState
 from walnutpost.node import resp, rpc
 from walnutpost.node.config import ConfigError, parse
--- a/walnutpost/rules.py
+++ b/packages/rules/src/walnutpost/rules/__init__.py
@@ -10,8 +10,8 @@
 from itertools import islice
 from random import Random
 
-from . import interface as api
-from .interface import Effect, Group, ListKind, Outcome, Warmth, WorkerState
+from walnutpost import interface as api
+from walnutpost.interface import Effect, Group, ListKind, Outcome, Warmth, WorkerState
 
 # An attempt with one of these outcomes certainly had no effect.
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS))
--- a/tests/test_defences.py
+++ b/packages/rules/tests/test_defences.py
@@ -5,8 +5,8 @@
 import math
 from dataclasses import replace
 
-from tests.rig import KEEP, SECOND, SETTINGS, Rig, of, orders, worker
-from tests.test_mechanism import first_in_order
+from rig import KEEP, SECOND, SETTINGS, Rig, of, orders, worker
+from test_mechanism import first_in_order
 from walnutpost import interface as api
 
 Outcome = api.Outcome
--- a/tests/test_guards.py
+++ b/packages/rules/tests/test_guards.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from tests.rig import KEYED, SECOND, SETTINGS, Rig, of, orders, worker
-from tests.test_mechanism import first_in_order
+from rig import KEYED, SECOND, SETTINGS, Rig, of, orders, worker
+from test_mechanism import first_in_order
 from walnutpost import interface as api
 
 Outcome = api.Outcome
--- a/tests/test_mechanism.py
+++ b/packages/rules/tests/test_mechanism.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from tests.rig import KEEP, SECOND, SETTINGS, Rig, of, orders, worker
+from rig import KEEP, SECOND, SETTINGS, Rig, of, orders, worker
 from walnutpost import interface as api
 from walnutpost.rules import hash_rank
 
--- a/tests/test_properties.py
+++ b/packages/rules/tests/test_properties.py
@@ -7,7 +7,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from tests.rig import SECOND, SETTINGS, Rig, worker
+from rig import SECOND, SETTINGS, Rig, worker
 from walnutpost import interface as api
 from walnutpost.rules import hash_rank
 
--- a/tests/test_audit.py
+++ b/packages/trials/tests/test_audit.py
@@ -11,7 +11,7 @@
 import pytest
 from click.testing import CliRunner
 
-from tests.fleet import SECOND, Fleet
+from fleet_rig import SECOND, Fleet
 from walnutpost.cli import main
 from walnutpost.gateway import Answered, Effect
 
--- a/tests/test_processes.py
+++ b/packages/trials/tests/test_processes.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.fleet import BASE, Log, merged
+from fleet_rig import BASE, Log, merged
 from walnutpost.config import Config, parse
 from walnutpost.trials import table
 from walnutpost.trials.run import play
--- /dev/null
+++ b/tests/test_workspace.py
@@ -0,0 +1,137 @@
+"""Members of the workspace import down one list only, and only what each declares."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+MEMBERS = {path.parent.name: path.parent for path in sorted(ROOT.glob("packages/*/pyproject.toml"))}
+ORDER = [
+    "cli",
+    "trials",
+    "standins",
+    "node",
+    "daemon",
+    "agent",
+    "keeper",
+    "fronts",
+    "config",
+    "store",
+    "schedules",
+    "links",
+    "metering",
+    "trust",
+    "http",
+    "loop",
+    "adapter",
+    "gateway",
+    "fleet",
+    "agreement",
+    "rules",
+    "interface",
+]
+# trials.capture is a tap that the shell hands down; standins may use the worker protocol's words.
+NO_IO = ["agreement", "fleet", "gateway", "metering", "schedules", "trust", "rules", "interface"]
+IO_MODULES = {
+    "socket",
+    "os",
+    "time",
+    "select",
+    "threading",
+    "subprocess",
+    "sqlite3",
+    "greenlet",
+    "asyncio",
+    "secrets",
+}
+# What is imported under another name than that of its distribution; tzdata is read by zoneinfo.
+NAMES = {
+    "dnspython": "dns",
+    "hdrhistogram": "hdrh",
+    "protobuf": "google",
+    "xds-protos": "xds",
+    "tzdata": "zoneinfo",
+}
+
+
+def imports(path: Path) -> set[str]:
+    out: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            out |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            assert not node.level, f"{path}: imports name the whole way"
+            out.add(node.module)
+            if node.module == "walnutpost":
+                out |= {f"walnutpost.{a.name}" for a in node.names}
+    return out - {"walnutpost"}
+
+
+def sources(member: str) -> list[Path]:
+    return list((MEMBERS[member] / "src").rglob("*.py"))
+
+
+def declared(member: str) -> set[str]:
+    project = tomllib.loads((MEMBERS[member] / "pyproject.toml").read_text())["project"]
+    assert project["name"] == f"walnutpost-{member}"
+    return set(project["dependencies"])
+
+
+def ours(member: str) -> set[str]:
+    return {name.removeprefix("walnutpost-") for name in declared(member) if name.startswith("walnutpost-")}
+
+
+def pins(members: set[str]) -> set[str]:
+    return {name for m in members for name in declared(m) if not name.startswith("walnutpost-")}
+
+
+def test_members_declare_what_they_import_and_nothing_else() -> None:
+    wrong = []
+    for member in MEMBERS:
+        used = {name for path in sources(member) for name in imports(path)}
+        needed = {n.split(".")[1] for n in used if n.startswith("walnutpost.")} - {member}
+        if needed != ours(member):
+            wrong.append(f"{member}: imports {sorted(needed)}, declares {sorted(ours(member))}")
+        named = {n.split(".")[0] for n in used} - {"walnutpost"}
+        other = named - sys.stdlib_module_names
+        told = {NAMES.get(name.split("==")[0], name.split("==")[0]) for name in pins({member})}
+        if other != told - sys.stdlib_module_names or not told <= named:
+            wrong.append(f"{member}: imports {sorted(other)}, declares {sorted(told)}")
+    assert not wrong
+
+
+def test_members_declare_down_one_list_only() -> None:
+    assert sorted(ORDER) == list(MEMBERS)
+    wrong = [(m, other) for m in MEMBERS for other in ours(m) if ORDER.index(other) <= ORDER.index(m)]
+    assert not wrong
+
+
+def test_each_library_has_one_version() -> None:
+    names = [pin.split("==")[0] for pin in pins(set(MEMBERS))]
+    assert len(names) == len(set(names)) and all("==" in pin for pin in pins(set(MEMBERS)))
+
+
+def test_walnutpost_is_a_namespace_that_members_share() -> None:
+    for member, folder in MEMBERS.items():
+        assert [p.name for p in (folder / "src").iterdir()] == ["walnutpost"]
+        assert [p.name for p in (folder / "src" / "walnutpost").iterdir()] == [member]
+
+
+def test_what_decides_does_no_input_or_output() -> None:
+    model = MEMBERS["standins"] / "src" / "walnutpost" / "standins" / "model.py"
+    files = [model, *(path for member in NO_IO for path in sources(member))]
+    wrong = [(p.name, n) for p in files for n in imports(p) if n.split(".")[0] in IO_MODULES]
+    assert len(files) > 8 and not wrong
+
+
+def test_a_node_loads_only_what_it_needs() -> None:
+    """Protobuf and pydantic would cost tens of MB, where 96 may be all."""
+    script = "import sys, walnutpost.node.run as _; print(*{m.partition('.')[0] for m in sys.modules})"
+    loaded = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True)
+    paid = {"google", "pydantic", "structlog", "httptools", "cryptography", "sqlite3", "xds"}
+    assert {"dns", "greenlet", "msgpack"} <= set(loaded.stdout.split())
+    assert not paid & set(loaded.stdout.split())
--- a/walnutpost/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""walnutpost: a router for functions that are loaded on demand."""
