The policy is split by concern into files of its own; no decision changes

Change: package policy/, layer upon layer, each owning its state and calling only what is below: state (types, timers), workers (the list, hash order), health, shedding, loading, placing (choke points for sends and answers), watching (silence), router (events to the layers). All files stand under policy in the deploy file, held there by tests/test_workspace.py.

--- a/packages/adapter/src/walnutpost/adapter/host.py
+++ b/packages/adapter/src/walnutpost/adapter/host.py
@@ -7,7 +7,7 @@
 from typing import BinaryIO
 
 from walnutpost.adapter import codec, settings
-from walnutpost.rules import Router
+from walnutpost.policy import Router
 
 
 class Host:
--- a/packages/adapter/tests/test_adapter.py
+++ b/packages/adapter/tests/test_adapter.py
@@ -10,7 +10,7 @@
 import pytest
 
 from walnutpost import interface as api
-from walnutpost import rules
+from walnutpost import policy
 from walnutpost.adapter import codec, host, settings
 
 FACTS: dict[str, Any] = {
@@ -221,7 +221,7 @@
     def broken(*_: object) -> list[api.Action]:
         raise ValueError("no such luck")
 
-    monkeypatch.setattr(rules.Router, "handle", broken)
+    monkeypatch.setattr(policy.Router, "handle", broken)
     _, out = serve(batch(started(), request()))
     ((_, records),) = replies(out)
     assert records[0][0] == 10
--- a/packages/gateway/src/walnutpost/gateway/core.py
+++ b/packages/gateway/src/walnutpost/gateway/core.py
@@ -37,7 +37,7 @@
 )
 from walnutpost.gateway.repeats import Repeats
 from walnutpost.interface import Outcome
-from walnutpost.rules import NEVER_RAN, Router
+from walnutpost.policy import NEVER_RAN, Router
 
 REMEMBER_FOR, REMEMBER_BYTES = 60_000_000, 64 << 20
 
--- a/packages/interface/src/walnutpost/interface/__init__.py
+++ b/packages/interface/src/walnutpost/interface/__init__.py
@@ -1,6 +1,6 @@
 """What goes into and comes out of the decision module: settings, events and actions.
 
-Types only; every decision lives in rules.py. Times and durations are whole microseconds.
+Types only; every decision lives in policy. Times and durations are whole microseconds.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/packages/policy/src/walnutpost/policy/router.py
@@ -0,0 +1,153 @@
+"""The parts joined: each event to those that it concerns, and their actions back."""
+
+from collections.abc import Collection
+from dataclasses import replace
+
+from walnutpost import interface as api
+from walnutpost.interface import ListKind, Outcome, Warmth, WorkerState
+from walnutpost.policy.shedding import SHARE_SPAN
+from walnutpost.policy.state import HEARD_FROM, Function, Rate, Request, Worker
+from walnutpost.policy.watching import Watching
+
+
+class Router(Watching):
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self._asked_list = False
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        self._now, self._actions = now, []
+        self._began = self._began or now
+        match event:
+            case api.RequestArrived():
+                self._arrive(event)
+            case api.AttemptEnded():
+                self._attempt_ended(event)
+            case api.HoldEnded():
+                self._hold_ended(event)
+            case api.WorkersListed():
+                self._listed(event)
+            case api.RequestGone(request) if request in self._requests:
+                if self._taken:
+                    self._taken.pop()  # clients may ask and take back by the hundreds: no ground for orders
+                self._close(self._requests[request])
+            case api.AnswerStarted(request) if request in self._requests:
+                self._requests[request].done = True
+        for what, ref in self._ripe():
+            self._due(what, ref)
+        return self._actions
+
+    def named(self) -> tuple[Collection[int], Collection[int]]:
+        """Functions and workers that actions to come may name; all others may be forgotten outside, too."""
+        return self._functions.keys(), self._workers.keys()
+
+    def _due(self, what: str, ref: int) -> None:
+        fn, req = self._functions.get(ref), self._requests.get(ref)
+        if what == "watch" and ref in self._workers:
+            self._watch(self._workers[ref])
+        elif what == "list":
+            self._actions.append(api.FollowList(True))
+        elif what == "deadline" and req:
+            self._answer(req)
+        elif what == "renew" and fn:
+            self._renew(fn)
+        elif what == "wake" and fn:
+            self._release(fn)
+
+    def _arrive(self, e: api.RequestArrived) -> None:
+        now = self._now
+        fn = self._functions.setdefault(e.function, Function(e.function, Rate(SHARE_SPAN * self._keep)))
+        fn.lanes, fn.load_time = max(1, int(e.lanes)), e.load_time
+        self._renew_later(fn)
+        if self._s.guards.load_window > 0:
+            self._taken.append(now)
+        self._came.add(now)
+        fn.calls.add(now)
+        cls = self._s.classes[min(e.class_index, len(self._s.classes) - 1)]
+        req = Request(e.request, cls, fn, now + e.time_left, e.cost_hint)
+        self._requests[e.request] = req
+        crowded = all(self._over(fn, w) for w in self._warm(fn))
+        if e.time_left <= 0 or self._sheds(req, e.tenant, crowded):
+            return self._answer(req)
+        self._later(req.expires - self._s.tick, "deadline", req.id)  # out before the client leaves
+        self._place(req)
+
+    def _attempt_ended(self, e: api.AttemptEnded) -> None:
+        req = self._requests.get(e.request)
+        if req is None or e.attempt >= len(req.attempts) or req.attempts[e.attempt].outcome:
+            return
+        a, fn, now = req.attempts[e.attempt], req.fn, self._now
+        w, copy = self._workers[a.worker], fn.copies.get(a.worker)
+        a.outcome = e.outcome
+        w.out -= 1
+        self._all_out -= 1
+        fn.out[a.worker] -= 1
+        if not fn.out[a.worker]:
+            del fn.out[a.worker]
+        if e.outcome in HEARD_FROM:
+            self._hear(w)
+            self._answered(w, req, e)
+        refused_load = e.outcome is Outcome.FULL and copy is not None and not copy.sure
+        if e.outcome is Outcome.OK:
+            if copy is not None:
+                copy.touched, copy.sure = now, True
+            self._served.add(now)
+            if a.warm and e.warmth not in (Warmth.BEGAN_LOAD, Warmth.AWAITED_LOAD):
+                self._pace(req, w, e.latency)
+        elif e.outcome is Outcome.MISS or e.warmth is Warmth.LOAD_FAILED or refused_load:
+            fn.copies.pop(a.worker, None)
+            if e.outcome is not Outcome.MISS or e.warmth is Warmth.LOAD_FAILED:
+                self._bar(fn, a.worker)
+            else:
+                fn.missed[a.worker] = now
+        elif e.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+            self._broken(w, e.outcome)
+        if e.finished or req.done:
+            return self._close(req)
+        if e.outcome is not Outcome.MISS or e.warmth is Warmth.LOAD_FAILED:
+            req.avoid.append(a.worker)
+        if all(o.outcome for o in req.attempts):
+            self._place(req) if self._may_try_again(req) else self._answer(req)
+
+    def _hold_ended(self, e: api.HoldEnded) -> None:
+        w, fn = self._workers.get(e.worker), self._functions.get(e.function)
+        if w is not None and e.outcome is not Outcome.TIMEOUT:
+            self._hear(w) if e.outcome in HEARD_FROM else self._broken(w, e.outcome)
+        if w is None or fn is None:
+            return
+        if e.outcome is Outcome.OK and not e.copies:
+            fn.copies.pop(e.worker, None) if e.worker not in fn.out else None
+            return
+        ordered = fn.pending.pop(e.worker, None)
+        if e.outcome is Outcome.OK and w.ready:
+            self._stands(fn, e, ordered is not None)
+        elif ordered is not None:
+            self._bar(fn, e.worker)
+        self._release(fn)
+
+    def _listed(self, e: api.WorkersListed) -> None:
+        if self._s.must_ask_list and (not self._asked_list or e.kind is ListKind.FAILED):
+            self._later(self._now + self._asked_list * self._s.guards.ask_within / 8, "list", 0)
+            self._asked_list = True
+        named = {info.id: info for info in e.workers}
+        weights = {wid: w.weight for wid, w in self._workers.items()}
+        for wid, w in self._workers.items():
+            if wid not in named and e.kind in (ListKind.CACHED, ListKind.FULL):
+                w.info = replace(w.info, state=WorkerState.GONE)
+                self._leave(w)
+        for wid, info in named.items():
+            w = self._workers.setdefault(wid, Worker(info, info.started_at))
+            restarted = info.started_at > w.info.started_at
+            w.info, w.ready, w.weight = info, info.state is WorkerState.READY, self._weight(info)
+            if restarted:  # after `ready`: what is rescued must not come back to one that drains again
+                self._void(w)
+                w.started, w.silent_since, w.asked, w.signs, w.strain = info.started_at, None, None, 0.0, 0.0
+            if not w.ready:
+                self._leave(w)
+        self._forget_gone()
+        self._list_number += weights != {i: w.weight for i, w in self._workers.items()}  # else orders stay
+        self._ready = sum(w.ready for w in self._workers.values())
+        self._all_weight = sum(w.weight for w in self._workers.values())
+        for fn in list(self._functions.values()):
+            if fn.held:
+                self._release(fn)
--- /dev/null
+++ b/packages/policy/src/walnutpost/policy/state.py
@@ -0,0 +1,131 @@
+"""What the policy's parts speak of, and the lowest of them: the time, the timers, what is open."""
+
+import math
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from random import Random
+
+from walnutpost import interface as api
+from walnutpost.interface import Outcome
+
+# An attempt with one of these outcomes certainly had no effect.
+NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS))
+HEARD_FROM = frozenset((Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.MISS))
+
+
+class Rate:
+    """Events per microsecond, lately; an older one weighs less."""
+
+    def __init__(self, span: float) -> None:
+        self.span, self.count, self.at, self.began = span, 0.0, 0, 0
+
+    def add(self, now: int) -> None:
+        self.began = self.began or now
+        self.count, self.at = self.weighed(now) + 1, now
+
+    def weighed(self, now: int) -> float:
+        return self.count * math.exp((self.at - now) / self.span)
+
+    def lately(self, now: int) -> float:
+        seen = 1 - math.exp(min(self.began - now, -1) / self.span)  # else it looks small after a start
+        return self.weighed(now) / self.span / seen
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    info: api.Worker
+    started: int  # start time told, or the return from a long silence; 0 is long ago
+    ready: bool = True
+    weight: float = 1.0
+    out: int = 0
+    heard: int = 0
+    asked: int | None = None
+    silent_since: int | None = None
+    signs: float = 0.0  # of how slow or busy it is against the fleet's usual: how many lately, their sum
+    strain: float = 0.0
+    signed_at: int = 0
+    faults: float = 0.0  # share of errors among its last answers
+    fault_at: int = 0
+    sends: deque[int] = field(default_factory=lambda: deque(maxlen=512))  # for the cold budget
+
+
+@dataclass(slots=True, eq=False)
+class Copy:
+    touched: int
+    count: int = 1
+    sure: bool = False  # seen to stand, not only sent to
+
+
+@dataclass(slots=True, eq=False)
+class Function:
+    key: int
+    calls: Rate
+    lanes: int = 1
+    load_time: int = 0
+    copies: dict[int, Copy] = field(default_factory=dict)  # believed warm
+    out: dict[int, int] = field(default_factory=dict)  # own requests in flight, by worker
+    held: dict[int, None] = field(default_factory=dict)
+    pending: dict[int, int] = field(default_factory=dict)  # orders of the scale-up in flight
+    order: list[Worker] = field(default_factory=list)  # all workers by hash rank, as of list number order_of
+    order_of: int = 0
+    barred: dict[int, int] = field(default_factory=dict)  # worker -> no order before
+    missed: dict[int, int] = field(default_factory=dict)  # worker -> held no copy and no load then
+    failures: int = 0
+    next_try: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    worker: int
+    sent: int
+    warm: bool
+    outcome: Outcome | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    id: int
+    cls: api.RequestClass
+    fn: Function
+    expires: int
+    hint: int | None
+    attempts: list[Attempt] = field(default_factory=list)
+    avoid: list[int] = field(default_factory=list)
+    done: bool = False
+
+
+class Desk:
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self._s = settings
+        self._rng = Random(seed)
+        self._now = 0
+        self._actions: list[api.Action] = []
+        self._functions: dict[int, Function] = {}
+        self._requests: dict[int, Request] = {}
+        self._queue: list[tuple[int, str, int]] = []
+        self._timers: dict[tuple[str, int], int] = {}
+        self._armed: int | None = None
+        self._keep = settings.keep_alive or settings.order_timeout or 1
+        self._aim = max(1, min((c.aim for c in settings.classes), default=1))
+        self._began = 0
+        self._others = 1 - 1 / max(1, settings.front_ends)  # part of all calls that others send
+
+    def _later(self, when: float, what: str, ref: int) -> None:
+        """One timer for each purpose and its object; the earliest holds."""
+        due = int(max(when, self._now + max(1, self._s.tick)))
+        if due < self._timers.get((what, ref), due + 1):
+            self._timers[what, ref] = due
+            heappush(self._queue, (due, what, ref))
+
+    def _ripe(self) -> Iterator[tuple[str, int]]:
+        while self._queue and self._queue[0][0] <= self._now:
+            due, what, ref = heappop(self._queue)
+            if self._timers.get((what, ref)) == due:  # else an earlier one took its place
+                del self._timers[what, ref]
+                yield what, ref
+        now = self._now
+        if self._queue and (self._armed is None or self._armed <= now or self._queue[0][0] < self._armed):
+            self._armed = self._queue[0][0]
+            self._actions.append(api.SetTimer(self._armed - now, 1))
--- a/packages/rules/tests/rig.py
+++ b/packages/policy/tests/rig.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from walnutpost import interface as api
-from walnutpost.rules import Router
+from walnutpost.policy import Router
 
 SECOND = 1_000_000
 KEEP = 10 * SECOND
--- a/packages/rules/tests/test_mechanism.py
+++ b/packages/policy/tests/test_mechanism.py
@@ -6,7 +6,7 @@
 
 from rig import KEEP, SECOND, SETTINGS, Rig, of, orders, worker
 from walnutpost import interface as api
-from walnutpost.rules import hash_rank
+from walnutpost.policy import hash_rank
 
 
 def first_in_order(function: int = 7, workers: int = 4) -> list[int]:
--- a/packages/rules/tests/test_properties.py
+++ b/packages/policy/tests/test_properties.py
@@ -9,7 +9,7 @@
 
 from rig import SECOND, SETTINGS, Rig, worker
 from walnutpost import interface as api
-from walnutpost.rules import hash_rank
+from walnutpost.policy import hash_rank
 
 RATIONED = replace(
     SETTINGS, guards=replace(SETTINGS.guards, free_loads=2.0, load_share=0.2, load_window=5 * SECOND)
--- a/tests/test_workspace.py
+++ b/tests/test_workspace.py
@@ -31,11 +31,11 @@
     "gateway",
     "fleet",
     "agreement",
-    "rules",
+    "policy",
     "interface",
 ]
 # trials.capture is a tap that the shell hands down; standins may use the worker protocol's words.
-NO_IO = ["agreement", "fleet", "gateway", "metering", "schedules", "trust", "rules", "interface"]
+NO_IO = ["agreement", "fleet", "gateway", "metering", "schedules", "trust", "policy", "interface"]
 IO_MODULES = {
     "socket",
     "os",
@@ -128,6 +128,16 @@
     assert len(files) > 8 and not wrong
 
 
+def test_the_deployment_names_all_files_that_decide_the_ordinary_path() -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    files = [ROOT / name for name in deploy["policy"]]
+    assert sorted(files) == sorted(sources("policy")) and all(
+        (ROOT / name).exists() for name in deploy["node"]
+    )
+    lines = [line for path in files for line in path.read_text().splitlines() if line.strip()]
+    assert len(lines) <= 710
+
+
 def test_a_node_loads_only_what_it_needs() -> None:
     """Protobuf and pydantic would cost tens of MB, where 96 may be all."""
     script = "import sys, walnutpost.node.run as _; print(*{m.partition('.')[0] for m in sys.modules})"
