--- a/packages/daemon/src/walnutpost/daemon/deferred.py
+++ b/packages/daemon/src/walnutpost/daemon/deferred.py
@@ -8,7 +8,7 @@
 from hashlib import blake2b
 from typing import Any
 
-from walnutpost.daemon.core import Core
+from walnutpost.core import Core
 from walnutpost.gateway import (
     Admission,
     CallArrived,
--- a/packages/daemon/src/walnutpost/daemon/fleet.py
+++ b/packages/daemon/src/walnutpost/daemon/fleet.py
@@ -14,7 +14,7 @@
 from walnutpost.agent import INCARNATION
 from walnutpost.config.model import Agreement, address_of
 from walnutpost.config.settings import us
-from walnutpost.daemon.core import Core
+from walnutpost.core import Core
 from walnutpost.daemon.lists import Lists
 from walnutpost.fleet import FRONT_END, Answer, Enter, Figures, Follower, Sight
 from walnutpost.gateway import CallArrived, Final, Refused, Served
--- a/packages/daemon/src/walnutpost/daemon/front_end.py
+++ b/packages/daemon/src/walnutpost/daemon/front_end.py
@@ -11,7 +11,7 @@
 from walnutpost.config import Config, WorkerLine, catalogue, own_schedules, router_settings
 from walnutpost.config.model import address_of
 from walnutpost.config.settings import us
-from walnutpost.daemon.core import Core
+from walnutpost.core import Core
 from walnutpost.daemon.deferred import Deferred
 from walnutpost.daemon.fleet import CountedCore, Following
 from walnutpost.daemon.keys import Keys
--- a/packages/daemon/src/walnutpost/daemon/lists.py
+++ b/packages/daemon/src/walnutpost/daemon/lists.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from walnutpost.config import ConfigError, Site, WorkerLine, WorkerList, load, worker_lines
-from walnutpost.daemon.core import Core
+from walnutpost.core import Core
 from walnutpost.fleet.sight import Follower, Listed
 from walnutpost.gateway import WorkersTold
 from walnutpost.interface import ListKind
--- a/packages/node/src/walnutpost/node/clients.py
+++ b/packages/node/src/walnutpost/node/clients.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from walnutpost import interface as api
-from walnutpost.daemon.core import Core
+from walnutpost.core import Core
 from walnutpost.gateway import CallArrived, Failed, Final, Function, Refused, Served
 from walnutpost.loop import Listener, Loop, Stream
 from walnutpost.node import rpc
--- a/packages/node/src/walnutpost/node/run.py
+++ b/packages/node/src/walnutpost/node/run.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from walnutpost.daemon.core import Core
+from walnutpost.core import Core
 from walnutpost.gateway import Catalogue, Gateway, WorkersTold
 from walnutpost.interface import ListKind, Outcome
 from walnutpost.loop import Listener, Loop
--- a/tests/test_workspace.py
+++ b/tests/test_workspace.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import shlex
 import subprocess
 import sys
 import tomllib
@@ -23,6 +24,7 @@
     "store",
     "schedules",
     "links",
+    "core",
     "metering",
     "trust",
     "http",
@@ -85,6 +87,18 @@
     return {name.removeprefix("walnutpost-") for name in declared(member) if name.startswith("walnutpost-")}
 
 
+def closure(*members: str) -> set[str]:
+    """These members and all that they declare, however far down."""
+    found: set[str] = set()
+    todo = list(members)
+    while todo:
+        member = todo.pop()
+        if member not in found:
+            found.add(member)
+            todo += ours(member)
+    return found
+
+
 def pins(members: set[str]) -> set[str]:
     return {name for m in members for name in declared(m) if not name.startswith("walnutpost-")}
 
@@ -128,6 +142,15 @@
     assert len(files) > 8 and not wrong
 
 
+def test_a_node_is_built_from_what_its_members_declare() -> None:
+    """The deployment installs requirements.txt and puts members on the path, without building them."""
+    wanted = closure("node", "adapter")
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    words = shlex.split(deploy["build"])
+    assert {word.rstrip(";") for word in words[words.index("in") + 1 : words.index("do")]} == wanted
+    assert set((ROOT / "requirements.txt").read_text().split()) == pins(wanted)
+
+
 def test_the_deployment_names_all_files_that_decide_the_ordinary_path() -> None:
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
     files = [ROOT / name for name in deploy["policy"]]
