--- a/packages/cli/src/walnutpost/cli/keepers.py
+++ b/packages/cli/src/walnutpost/cli/keepers.py
@@ -18,8 +18,8 @@
 from walnutpost.cli.configs import CONFIG, config_of, end
 from walnutpost.cli.run import make_loop, stop_event
 from walnutpost.config import ConfigError, keys_of, load
+from walnutpost.config.base import address_of
 from walnutpost.config.keepers import Keepers
-from walnutpost.config.model import address_of
 from walnutpost.config.settings import us
 from walnutpost.fleet import (
     FRONT_END,
--- a/packages/cli/src/walnutpost/cli/run.py
+++ b/packages/cli/src/walnutpost/cli/run.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from walnutpost.config import Config, ConfigError, StandIn, WorkerLine, load, load_with_own
-from walnutpost.config.model import address_of
+from walnutpost.config.base import address_of
 from walnutpost.config.settings import us
 from walnutpost.daemon.front_end import FrontEnd
 from walnutpost.loop import Event, Loop
--- a/packages/config/src/walnutpost/config/keepers.py
+++ b/packages/config/src/walnutpost/config/keepers.py
@@ -6,7 +6,7 @@
 
 from pydantic import Field, StringConstraints, field_validator, model_validator
 
-from walnutpost.config.model import Ms, Share, Strict, address_of
+from walnutpost.config.base import Ms, Share, Strict, address_of
 
 KeeperName = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9_.-]{1,60}$")]
 
--- a/packages/config/src/walnutpost/config/settings.py
+++ b/packages/config/src/walnutpost/config/settings.py
@@ -7,7 +7,8 @@
 from math import ceil
 
 from walnutpost import interface as api
-from walnutpost.config.model import Config, Metering, Site, WorkerLine, address_of
+from walnutpost.config.base import address_of
+from walnutpost.config.model import Config, Metering, Site, WorkerLine
 from walnutpost.gateway import Catalogue, Function, WorkerTold
 from walnutpost.metering import HOUR, Action, Budget, Policy, Size
 from walnutpost.schedules import Missed, Overlap, Schedule, owner_of
--- a/packages/core/src/walnutpost/core/__init__.py
+++ b/packages/core/src/walnutpost/core/__init__.py
@@ -80,7 +80,7 @@
         self._log = log
         self._tickets = 0
         self._waiting: dict[int, Callable[[Final], None]] = {}
-        self.intend: Callable[[int], None] = lambda ticket: None
+        self.intend: Callable[[Start], None] = lambda start: None
         self.execution: Callable[[int], str] = lambda ticket: ""
         self.watch: Watch | None = None
         self.ask_list: Callable[[], None] = lambda: None
@@ -182,7 +182,7 @@
             case Start():
                 if self.watch is not None:
                     self.watch.started(self._loop.now(), effect)
-                before = (lambda: self.intend(effect.ticket)) if effect.intent_first else None
+                before = (lambda: self.intend(effect)) if effect.intent_first else None
                 self._links.start(effect, self.feed, before, self.execution(effect.ticket))
             case Abandon(call, attempt):
                 self._links.abandon(call, attempt)
--- a/packages/daemon/src/walnutpost/daemon/deferred.py
+++ b/packages/daemon/src/walnutpost/daemon/deferred.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sqlite3
 import uuid
 from collections.abc import Callable
 from dataclasses import replace
@@ -9,6 +10,7 @@
 from typing import Any
 
 from walnutpost.core import Core
+from walnutpost.daemon.journaling import Journaling
 from walnutpost.gateway import (
     Admission,
     CallArrived,
@@ -19,14 +21,17 @@
     Failure,
     Final,
     Refused,
+    Start,
     Status,
+    Unsure,
     admit,
     conclude,
     resume,
 )
 from walnutpost.interface import RequestClass
+from walnutpost.journal import Told
 from walnutpost.loop import Event, Loop
-from walnutpost.store import Change, ExecutionStore, Listing, StoreError
+from walnutpost.store import Appending, Change, ExecutionStore, Listing, StoreError
 
 SAVE_AGAIN = 200_000  # between tries to write a fate down; it is told from memory meanwhile
 STORE_RETRY_AFTER = 1_000_000  # what a client is told to wait when the store takes nothing
@@ -36,10 +41,12 @@
 class _Open:
     """An execution without a durable fate."""
 
-    __slots__ = ("durable", "execution", "failed", "ticket")
+    __slots__ = ("copies", "durable", "execution", "failed", "shown", "ticket")
 
     def __init__(self, loop: Loop, execution: Execution) -> None:
         self.execution = execution
+        self.shown = execution  # as askers are told it: with a fate only once that can't be lost
+        self.copies: Told | None = None  # how many hold it, where there is a journal
         self.ticket = 0
         self.durable = Event(loop)  # set when the store has it, or has not taken it
         self.failed: Refused | None = None
@@ -55,8 +62,10 @@
         classes: tuple[RequestClass, ...],
         keep_for: int,
         log: Any,
+        journal: Journaling | None = None,
     ) -> None:
         self._loop = loop
+        self._journal = journal
         self._core = core
         self._store = store
         self._catalogue = catalogue
@@ -82,7 +91,7 @@
         name: str | None,
         request_id: str,
         also: Change | None = None,
-    ) -> Execution | Refused | None:
+    ) -> Execution | Unsure | Refused | None:
         digest = blake2b(payload + b"\0" + (tenant or "").encode(), digest_size=16).hexdigest()
         now = self._loop.now()
         name = name or request_id
@@ -99,15 +108,19 @@
             if admit(known.execution, digest) is Admission.CONFLICT:
                 return None
             known.durable.wait()
-            return known.failed or known.execution
+            return known.failed or self._accepted(known)
+        refused = self._journal.room(function, len(payload)) if self._journal is not None else None
+        if refused is not None:
+            return refused
         version = self._catalogue.function(function).version
         execution = Execution(
             uuid.uuid4().hex, name, function, version, tenant, payload, digest, now, now + time_left
         )
         entry = _Open(self._loop, execution)
         self._remember(entry)
+        line = self._journal.accepted(execution) if self._journal is not None else None
         try:
-            self._store.add(execution, also)
+            self._store.add(execution, _both(also, line))
         except StoreError as error:
             entry.failed = self._not_stored(error, request_id, function)
             self._forget(entry)
@@ -119,15 +132,43 @@
             entry.failed = Refused("the front end is stopping")
             entry.durable.set()
             raise
+        self._copied(entry, line)
         self._run(entry, execution.expires_at - self._loop.now(), request_id)
         if entry.failed is not None:  # refused at once: the client may come again under the same name
-            try:
-                self._store.remove(execution.id)
-            except StoreError as error:
-                self._log.error("store", error=str(error), request=request_id)
+            all_know = self._withdraw(entry, request_id)
             self._forget(entry)
+            entry.durable.set()
+            return entry.failed if all_know else self._accepted(entry)
         entry.durable.set()
-        return entry.failed or entry.execution
+        return self._accepted(entry)
+
+    def _copied(self, entry: _Open, line: Appending | None) -> None:
+        """Until the line is held by as many as the call's class asks for. What lacks copies by then runs
+        all the same; whoever asked is told, since only the same name can be asked again safely."""
+        if self._journal is not None and line is not None:
+            left = entry.execution.expires_at - self._loop.now()
+            entry.copies = self._journal.copied(line, entry.execution.function, left)
+
+    def _withdraw(self, entry: _Open, request_id: str) -> bool:
+        """Whether holders know, too: else the client must not hear that it may ask anew, as they would run it
+        for us."""
+        line = self._journal.withdrawn(entry.execution) if self._journal is not None else None
+        try:
+            self._store.remove(entry.execution.id, line)
+            self._copied(entry, line)
+        except StoreError as error:
+            self._log.error("store", error=str(error), request=request_id)
+        return entry.copies is None or entry.copies.enough
+
+    def _accepted(self, entry: _Open) -> Execution | Unsure:
+        if entry.copies is not None and not entry.copies.enough:
+            return Unsure(entry.execution, entry.copies.copies)
+        return entry.shown
+
+    def copies(self, ident: str) -> int | None:
+        """How many holders had the call when its client was told; None where nobody was to hold it."""
+        entry = self._by_id.get(ident)
+        return entry.copies.copies if entry is not None and entry.copies is not None else None
 
     def _not_stored(self, error: StoreError, request_id: str, function: str) -> Refused:
         self._log.error("store", error=str(error), request=request_id, function=function)
@@ -164,19 +205,25 @@
         entry = self._by_ticket.get(ticket)
         return entry.execution.name if entry is not None else ""
 
-    def _intend(self, ticket: int) -> None:
-        """Called before an unsafe call's first byte leaves."""
-        entry = self._by_ticket.get(ticket)
-        if entry is None:
+    def _intend(self, start: Start) -> None:
+        """Called before an unsafe call's first byte leaves. Raises LookupError where it must not leave:
+        ConnectionError would say that something is wrong with the worker."""
+        entry = self._by_ticket.get(start.ticket)
+        if entry is None or (entry.execution.intended and self._journal is None):
             return
-        if not entry.execution.intended:
-            try:
-                self._store.intend(entry.execution.id)
-            except StoreError as error:
-                # Not sent then; ConnectionError would say that something is wrong with the worker.
-                self._log.error("store", error=str(error), request=entry.execution.name)
-                raise LookupError("no intent on disk") from error
-            entry.execution = replace(entry.execution, intended=True)
+        e, line = entry.execution, None
+        if self._journal is not None:
+            line = self._journal.intended(e, start.attempt, start.worker)
+        try:
+            self._store.intend(e.id, line)
+        except StoreError as error:
+            self._log.error("store", error=str(error), request=e.name)
+            raise LookupError("no intent on disk") from error
+        entry.execution = replace(e, intended=True)
+        if self._journal is not None and line is not None:
+            left = e.expires_at - self._loop.now()
+            if not self._journal.copied(line, e.function, left, whole=True).enough:
+                raise LookupError("its intent is in too few copies")
 
     # Fates
 
@@ -185,14 +232,21 @@
         self._loop.spawn(self._save, entry, name="save fate")
 
     def _save(self, entry: _Open) -> None:
+        line = self._journal.ended(entry.execution) if self._journal is not None else None
         while True:
             try:
                 also = self.also_at_end(entry.execution) if self.also_at_end is not None else None
-                self._store.update(entry.execution, also)
+                self._store.update(entry.execution, _both(also, line))
                 break
             except StoreError as error:
                 self._log.error("store", error=str(error), request=entry.execution.name)
                 self._loop.sleep(SAVE_AGAIN)
+        if self._journal is not None and line is not None:
+            # A fate that was told and then lost with the site could become another. About its deadline its
+            # client is told, whatever is held where.
+            left = entry.execution.expires_at - self._loop.now()
+            if not self._journal.copied(line, entry.execution.function, left, whole=True).enough:
+                self._log.warning("journal", why="told in too few copies", request=entry.execution.name)
         self._forget(entry)
         self.on_end(entry.execution)
 
@@ -206,9 +260,12 @@
 
     def fate(self, function: str, ident: str) -> Execution | None:
         entry = self._by_id.get(ident)
-        found = entry.execution if entry is not None else self._store.find(ident)
+        found = self._shown(entry) if entry is not None else self._store.find(ident)
         return found if found is not None and found.function == function else None
 
+    def _shown(self, entry: _Open) -> Execution:
+        return entry.execution if self._journal is None else entry.shown
+
     def stop_named(self, function: str, name: str) -> None:
         entry = self._by_name.get((function, name))
         if entry is not None:
@@ -220,7 +277,7 @@
             return self.fate(function, ident)
         entry.durable.wait()
         self._core.feed(CallStopped(entry.ticket))
-        return entry.execution
+        return self._shown(entry)
 
     def list(self, wanted: Listing) -> tuple[list[Execution], bool]:
         return self._store.page(wanted)
@@ -257,7 +314,11 @@
         """Forgets old fates now and then; runs until cancelled."""
         while True:
             try:
-                self._store.purge(self._loop.now() - self._keep_for)
+                before = self._loop.now() - self._keep_for
+                line = self._journal.purged(before) if self._journal is not None else None
+                self._store.purge(before, line)
+                if self._journal is not None and line is not None:
+                    self._journal.written(line)
             except StoreError as error:
                 self._log.error("store", error=str(error))
             self._loop.sleep(PURGE_EVERY)
@@ -270,3 +331,16 @@
     @property
     def open(self) -> int:
         return sum(e.execution.status is Status.RUNNING for e in self._by_id.values())
+
+
+def _both(*changes: Change | None) -> Change | None:
+    """As one change; None where there is nothing to do."""
+    wanted = [change for change in changes if change is not None]
+    if not wanted:
+        return None
+
+    def change(db: sqlite3.Connection) -> None:
+        for each in wanted:
+            each(db)
+
+    return change
--- a/packages/daemon/src/walnutpost/daemon/fleet.py
+++ b/packages/daemon/src/walnutpost/daemon/fleet.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from walnutpost.agent import INCARNATION
-from walnutpost.config.model import Agreement, address_of
+from walnutpost.config.base import address_of
+from walnutpost.config.model import Agreement
 from walnutpost.config.settings import us
 from walnutpost.core import Core
 from walnutpost.daemon.lists import Lists
--- a/packages/daemon/src/walnutpost/daemon/front_end.py
+++ b/packages/daemon/src/walnutpost/daemon/front_end.py
@@ -9,11 +9,12 @@
 from typing import Any, Protocol
 
 from walnutpost.config import Config, WorkerLine, catalogue, own_schedules, router_settings
-from walnutpost.config.model import address_of
+from walnutpost.config.base import address_of
 from walnutpost.config.settings import us
 from walnutpost.core import Core
 from walnutpost.daemon.deferred import Deferred
 from walnutpost.daemon.fleet import CountedCore, Following
+from walnutpost.daemon.journaling import Journaling
 from walnutpost.daemon.keys import Keys
 from walnutpost.daemon.lists import Lists
 from walnutpost.daemon.meters import Meters
@@ -81,11 +82,25 @@
             functions = self.catalogue.functions.items()
             counted.aims = {name: settings.classes[f.class_index].aim for name, f in functions}
         self._store = ExecutionStore(loop, base / front.store)
+        self.journaling: Journaling | None = None
+        if config.journal is not None:
+            self.journaling = Journaling(
+                loop, config, config.journal, self._store, self.catalogue, settings.classes, log
+            )
         self.deferred = Deferred(
-            loop, self.core, self._store, self.catalogue, settings.classes, us(front.keep_results_ms), log
+            loop,
+            self.core,
+            self._store,
+            self.catalogue,
+            settings.classes,
+            us(front.keep_results_ms),
+            log,
+            self.journaling,
         )
         self.lists = Lists(loop, self.core, self.links, site, log, tap.told if tap else None)
         self._tasks = [loop.spawn(self.deferred.purge, name="purge")]
+        if self.journaling is not None:
+            self._tasks.append(loop.spawn(self.journaling.run, name="journal"))
         if keys is not None:
             self._tasks.append(loop.spawn(keys.follow, self.links, name="keys"))
         self.meters: Meters | None = None
@@ -135,7 +150,8 @@
         self._tasks.append(loop.spawn(self.timers.run, name="timers"))
         if self.following is not None:
             self._tasks.append(loop.spawn(self.following.run, name="following"))
-        log.info("listening", address="{}:{}".format(*self.server.address), recovered=self.recovered)
+        also = {"journal": self.journaling.address} if self.journaling is not None else {}
+        log.info("listening", address="{}:{}".format(*self.server.address), recovered=self.recovered, **also)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -156,6 +172,8 @@
             self._loop.sleep(STOP_STEP)
         for task in self._tasks:
             task.cancel()
+        if self.journaling is not None:
+            self.journaling.close()
         if self.meters is not None:
             try:
                 with self._loop.timeout(STOP_METERS):
--- /dev/null
+++ b/packages/daemon/src/walnutpost/daemon/journaling.py
@@ -0,0 +1,142 @@
+"""Deferred calls in more than one site: their lines, and how many copies each waits for."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from walnutpost.config import Config
+from walnutpost.config.base import address_of
+from walnutpost.config.journal import CopiesLine, HolderLine, Journal
+from walnutpost.config.settings import us
+from walnutpost.gateway import Catalogue, Execution, Refused
+from walnutpost.interface import RequestClass
+from walnutpost.journal import Accepted, Ended, Intended, Place, Purged, Terms, Told, Withdrawn, chosen
+from walnutpost.loop import Loop
+from walnutpost.replica import Holding, Sending
+from walnutpost.store import Appending, Database, JournalStore
+
+LOOK_EVERY = 500_000
+
+
+class Journaling:
+    """`listen` also serves others' copies. No synchronous call comes here."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        config: Config,
+        line: Journal,
+        database: Database,
+        catalogue: Catalogue,
+        classes: tuple[RequestClass, ...],
+        log: Any,
+    ) -> None:
+        self._loop, self._line, self._log = loop, line, log
+        self._catalogue, self._classes = catalogue, classes
+        self._copies = [line.classes.get(name, CopiesLine()) for name in config.site.classes]
+        self._places = {h.name: Place(h.name, h.region, h.zone) for h in line.holders}
+        self._shunned: dict[str, int] = {}
+        self._lost: dict[str, int] = {}
+        self.store = JournalStore(loop, database, line.name)
+        self.holding = Holding(loop, self.store, address_of(line.listen), log)
+        terms = Terms(us(line.lost_after_ms), us(line.pause_ms), int(line.backlog_mb * (1 << 20)))
+        addresses = {h.name: _address(h) for h in line.holders}
+        self.sending = Sending(loop, self.store, addresses, self._chosen(), terms, us(line.answer_ms), log)
+
+    def _chosen(self) -> tuple[str, ...]:
+        now = self._loop.now()
+        places = [p for p in self._places.values() if self._shunned.get(p.name, 0) <= now]
+        return chosen(self._places[self._line.name], places)
+
+    def run(self) -> None:
+        """Until cancelled: a holder that stays out of reach gives way to the next for a while."""
+        held = self._chosen()
+        while True:
+            self._loop.sleep(LOOK_EVERY)
+            now, span = self._loop.now(), us(self._line.replace_after_ms)
+            for name, reached in self.sending.machine.reached().items():
+                since = self._lost.setdefault(name, now)
+                if reached:
+                    del self._lost[name]
+                elif now - since >= span:
+                    self._shunned[name] = now + 10 * span
+                    del self._lost[name]
+            if (wanted := self._chosen()) != held:
+                self._log.warning("journal", why="other holders", before=held, now=wanted)
+                held = wanted
+                self.sending.place(held)
+
+    @property
+    def address(self) -> str:
+        return "{}:{}".format(*self.holding.server.address)
+
+    def close(self) -> None:
+        self.holding.server.stop_accepting()
+        self.sending.close()
+
+    # Whether, and how many
+
+    def _wanted(self, function: str) -> CopiesLine:
+        return self._copies[self._catalogue.function(function).class_index]
+
+    def room(self, function: str, size: int) -> Refused | None:
+        """The answer where a further call can't be copied as its class asks for."""
+        wanted = self._wanted(function)
+        wait = self.sending.machine.waits(wanted.copies, wanted.without == "less", size)
+        if wait is None:
+            return None
+        return Refused(f"{wanted.copies} copies at other sites can't be made now", wait)
+
+    def copied(self, line: Appending, function: str, left: int, whole: bool = False) -> Told:
+        """Waits until it is held as its class asks for, but no longer than `copy_wait_ms`, or, with `whole`,
+        than `left` where that is more. Where less will do for the class, whatever there is is enough."""
+        self.written(line)
+        wanted, most = self._wanted(function), us(self._line.copy_wait_ms)
+        less = wanted.without == "less"
+        span = max(left, most) if whole else min(max(left, 0), most)
+        told = self.sending.wait(line.line.seq, wanted.copies, less, span)
+        return replace(told, enough=told.enough or less)
+
+    def written(self, line: Appending) -> None:
+        self.store.appended(line)
+        self.sending.written(line.line.seq, line.line.size)
+
+    # Lines, to be committed with what they tell of
+
+    def accepted(self, e: Execution) -> Appending:
+        class_index = self._catalogue.function(e.function).class_index
+        effect, wanted = self._classes[class_index].effect, self._copies[class_index]
+        promise = wanted.copies if wanted.without == "refuse" else 0
+        return self.store.append(
+            Accepted(
+                e.id,
+                e.name,
+                e.function,
+                e.version,
+                e.tenant,
+                e.payload,
+                e.digest,
+                e.accepted_at,
+                e.expires_at,
+                effect.value,
+                promise,
+            )
+        )
+
+    def intended(self, e: Execution, attempt: int, worker: str) -> Appending:
+        return self.store.append(Intended(e.id, attempt, worker))
+
+    def withdrawn(self, e: Execution) -> Appending:
+        return self.store.append(Withdrawn(e.id))
+
+    def ended(self, e: Execution) -> Appending:
+        said = Ended(e.id, e.status.value, e.ended_at, e.result, e.error_type, e.error_message)
+        return self.store.append(said)
+
+    def purged(self, before: int) -> Appending:
+        return self.store.append(Purged(before))
+
+
+def _address(holder: HolderLine) -> Any:
+    return lambda: address_of(holder.address)
--- a/packages/daemon/tests/fleet_rig.py
+++ b/packages/daemon/tests/fleet_rig.py
@@ -9,7 +9,7 @@
 from typing import Any, TypeVar
 
 from walnutpost.config import Config, WorkerLine, parse
-from walnutpost.config.model import address_of
+from walnutpost.config.base import address_of
 from walnutpost.daemon.front_end import FrontEnd
 from walnutpost.http import Connection, Response
 from walnutpost.interface import ListKind
--- a/packages/fronts/src/walnutpost/fronts/calls.py
+++ b/packages/fronts/src/walnutpost/fronts/calls.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from walnutpost.gateway import Execution, Final, Refused
+from walnutpost.gateway import Execution, Final, Refused, Unsure
 from walnutpost.store import Change, Listing
 
 
@@ -38,10 +38,13 @@
         name: str | None,
         request_id: str,
         also: Change | None = None,
-    ) -> Execution | Refused | None:
+    ) -> Execution | Unsure | Refused | None:
         """The execution that stands for the call, on disk; None where the name stands for another
         payload. `also` is committed with the call, where it is new."""
 
+    def copies(self, ident: str) -> int | None:
+        """At how many other sites the call stands; None where that is not asked for."""
+
     def fate(self, function: str, ident: str) -> Execution | None: ...
 
     def stop(self, function: str, ident: str) -> Execution | None: ...
--- a/packages/fronts/src/walnutpost/fronts/invoke/front.py
+++ b/packages/fronts/src/walnutpost/fronts/invoke/front.py
@@ -16,7 +16,7 @@
     invalid,
     missing,
 )
-from walnutpost.gateway import Catalogue, Execution, Function, Refused, UnknownName
+from walnutpost.gateway import Catalogue, Execution, Function, Refused, UnknownName, Unsure
 from walnutpost.http import Exchange, Response
 from walnutpost.interface import RequestClass
 from walnutpost.store import Listing
@@ -102,7 +102,15 @@
                 )
             if isinstance(execution, Refused):
                 raise protocol.refused(execution)
-            return protocol.accepted(self._names.execution_arn(execution), function.version, request_id)
+            if isinstance(execution, Unsure):
+                known = execution.execution.name
+                raise Problem(
+                    500,
+                    "ServiceException",
+                    f"the call may run, but stands in {execution.copies} copies only: ask again as {known}",
+                )
+            arn, copies = self._names.execution_arn(execution), self._deferred.copies(execution.id)
+            return protocol.accepted(arn, function.version, request_id, copies)
         left = min(call.own_deadline or usual, usual)
 
         def gone(leave: Callable[[], None]) -> Callable[[], None]:
--- a/packages/fronts/src/walnutpost/fronts/invoke/protocol.py
+++ b/packages/fronts/src/walnutpost/fronts/invoke/protocol.py
@@ -308,12 +308,14 @@
     return json.dumps({"errorType": kind, "errorMessage": message}).encode()
 
 
-def accepted(arn: str, version: str, request_id: str) -> Response:
+def accepted(arn: str, version: str, request_id: str, copies: int | None = None) -> Response:
     headers = {
         "x-amz-durable-execution-arn": arn,
         "x-amz-executed-version": version,
         "x-amzn-requestid": request_id,
     }
+    if copies is not None:
+        headers["x-walnutpost-copies"] = str(copies)
     return Response(202, headers)
 
 
--- a/packages/fronts/src/walnutpost/fronts/timers/front.py
+++ b/packages/fronts/src/walnutpost/fronts/timers/front.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from walnutpost.fronts.calls import DeferredCalls
-from walnutpost.gateway import Execution, Status
+from walnutpost.gateway import Execution, Status, Unsure
 from walnutpost.loop import Event, Loop
 from walnutpost.schedules import Fire, Planner, Schedule, Skip, execution_name
 from walnutpost.store import Change, FiringStore, StoreError
@@ -150,6 +150,8 @@
             self._firings[name] = (s.name, due)
             also = self._store.fired(s.name, due, self._wall(), name)
             got = self._calls.defer(s.function, s.tenant, s.payload, left, name, name, also)
+            if isinstance(got, Unsure):
+                got = got.execution  # it is on disk with its firing, and will run
             if isinstance(got, Execution):
                 self._newest = max(self._newest, due)
                 if got.status is not Status.RUNNING:
--- a/packages/gateway/src/walnutpost/gateway/executions.py
+++ b/packages/gateway/src/walnutpost/gateway/executions.py
@@ -41,6 +41,15 @@
     error_message: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Unsure:
+    """Accepted on this disk, but not yet in as many copies as its class asks for: the same name again is the
+    same call, another name may be a second one."""
+
+    execution: Execution
+    copies: int
+
+
 class Admission(Enum):
     NEW = "new"
     SAME = "same"
--- /dev/null
+++ b/packages/replica/src/walnutpost/replica/__init__.py
@@ -0,0 +1,6 @@
+"""Journals of calls between front ends: an origin sends, holders keep."""
+
+from walnutpost.replica.holder import Holding
+from walnutpost.replica.sending import Sending
+
+__all__ = ["Holding", "Sending"]
--- /dev/null
+++ b/packages/replica/src/walnutpost/replica/holder.py
@@ -0,0 +1,53 @@
+"""A holder's side as a process: takes batches, and answers once they are durable."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from walnutpost.http import BadMessage, Exchange, Limits, Response, Server
+from walnutpost.http.server import serve_on
+from walnutpost.journal import BadBatch, Batch, Have, taken
+from walnutpost.loop import Loop
+from walnutpost.replica import wire
+from walnutpost.store import JournalStore, StoreError
+
+
+class Holding:
+    def __init__(self, loop: Loop, store: JournalStore, address: tuple[str, int], log: Any) -> None:
+        self._store = store
+        self._log = log
+        self._busy: set[str] = set()
+        limits = Limits(body=wire.BODY_MOST)
+        self.server: Server = serve_on(loop, address, self._handle, self._sorry, limits, None, "holder")
+
+    @staticmethod
+    def _sorry(error: BadMessage) -> Response:
+        return Response(error.status, body=str(error).encode())
+
+    def _handle(self, exchange: Exchange) -> Response:
+        request = exchange.request
+        if request.method != "POST" or request.target != wire.COPIES.encode():
+            return Response(404, body=b"found another target; wanted POST " + wire.COPIES.encode())
+        try:
+            batch = wire.decode(request.body, Batch)
+        except wire.BadWire as error:
+            return Response(400, body=str(error).encode())
+        if batch.origin == self._store.own:
+            return Response(409, body=b"this is the journal's own origin")
+        if batch.origin in self._busy:  # its sender gave up waiting and asks again: one at a time
+            return Response(503, body=b"the batch before is still being written")
+        self._busy.add(batch.origin)
+        try:
+            take = taken(self._store.known, batch)
+            if take is not None:
+                self._store.take(take)
+        except BadBatch as error:
+            self._log.error("journal", origin=batch.origin, why=str(error))
+            return Response(422, body=str(error).encode())
+        except StoreError as error:
+            self._log.error("journal", origin=batch.origin, why=str(error))
+            return Response(507, body=str(error).encode())
+        finally:
+            self._busy.discard(batch.origin)
+        have = Have(self._store.disk, self._store.known.get(batch.origin, 0))
+        return Response(200, body=wire.encode(have))
--- a/packages/standins/src/walnutpost/standins/fleet.py
+++ b/packages/standins/src/walnutpost/standins/fleet.py
@@ -7,7 +7,8 @@
 from pathlib import Path
 
 from walnutpost.config import Config, StandIn
-from walnutpost.config.model import FunctionWork, address_of
+from walnutpost.config.base import address_of
+from walnutpost.config.model import FunctionWork
 from walnutpost.config.settings import us
 from walnutpost.gateway.catalogue import number_of
 from walnutpost.links import contexts
--- a/packages/store/src/walnutpost/store/database.py
+++ b/packages/store/src/walnutpost/store/database.py
@@ -90,6 +90,20 @@
         except sqlite3.Error as error:
             raise StoreError(str(error)) from error
 
+    def change_now(self, change: Change) -> None:
+        """Before the loop runs."""
+        try:
+            self._commit([(change, Event(self._loop), [])])
+        except sqlite3.Error as error:
+            raise StoreError(str(error)) from error
+
+    def rows(self, query: str, values: Sequence[object]) -> list[tuple[Any, ...]]:
+        """On the helper thread, where the loop runs."""
+        try:
+            return self._db.execute(query, values).fetchall()
+        except sqlite3.Error as error:
+            raise StoreError(str(error)) from error
+
     def select(self, query: str) -> list[tuple[Any, ...]]:
         """Rows of any table; before the loop runs."""
         try:
--- a/packages/store/src/walnutpost/store/executions.py
+++ b/packages/store/src/walnutpost/store/executions.py
@@ -82,20 +82,25 @@
 
         self.change(change)
 
-    def intend(self, ident: str) -> None:
+    def intend(self, ident: str, also: Change | None = None) -> None:
         """Notes that an attempt may leave from now on."""
-        self.change(lambda db: db.execute("update executions set intended=1 where id=?", (ident,)))
+        self._run("update executions set intended=1 where id=?", (ident,), also)
 
-    def remove(self, ident: str) -> None:
-        self.change(lambda db: db.execute("delete from executions where id=?", (ident,)))
+    def remove(self, ident: str, also: Change | None = None) -> None:
+        self._run("delete from executions where id=?", (ident,), also)
 
-    def purge(self, ended_before: int) -> None:
+    def purge(self, ended_before: int, also: Change | None = None) -> None:
         running = Status.RUNNING.value
-        self.change(
-            lambda db: db.execute(
-                "delete from executions where status<>? and ended_at<?", (running, ended_before)
-            )
-        )
+        text = "delete from executions where status<>? and ended_at<?"
+        self._run(text, (running, ended_before), also)
+
+    def _run(self, text: str, values: Sequence[object], also: Change | None) -> None:
+        def change(db: sqlite3.Connection) -> None:
+            db.execute(text, values)
+            if also is not None:
+                also(db)
+
+        self.change(change)
 
     # Reading
 
--- a/packages/trials/src/walnutpost/trials/fleet_script.py
+++ b/packages/trials/src/walnutpost/trials/fleet_script.py
@@ -7,8 +7,8 @@
 
 from pydantic import Field, model_validator
 
+from walnutpost.config.base import Ms, Strict
 from walnutpost.config.keepers import BudgetOut, JudgeLine
-from walnutpost.config.model import Ms, Strict
 from walnutpost.trials.script import Traffic
 
 Seconds = Annotated[float, Field(ge=0, le=3600)]
--- a/packages/trials/src/walnutpost/trials/script.py
+++ b/packages/trials/src/walnutpost/trials/script.py
@@ -6,7 +6,7 @@
 
 from pydantic import Field, model_validator
 
-from walnutpost.config.model import Name, Share, Strict
+from walnutpost.config.base import Name, Share, Strict
 
 Seconds = Annotated[float, Field(ge=0, le=3600)]
 
