--- a/packages/daemon/src/walnutpost/daemon/deferred.py
+++ b/packages/daemon/src/walnutpost/daemon/deferred.py
@@ -261,6 +261,8 @@
     def fate(self, function: str, ident: str) -> Execution | None:
         entry = self._by_id.get(ident)
         found = self._shown(entry) if entry is not None else self._store.find(ident)
+        if found is None and self._journal is not None:
+            found = self._journal.elsewhere(ident)
         return found if found is not None and found.function == function else None
 
     def _shown(self, entry: _Open) -> Execution:
--- a/packages/daemon/src/walnutpost/daemon/journaling.py
+++ b/packages/daemon/src/walnutpost/daemon/journaling.py
@@ -9,11 +9,26 @@
 from walnutpost.config.base import address_of
 from walnutpost.config.journal import CopiesLine, HolderLine, Journal
 from walnutpost.config.settings import us
-from walnutpost.gateway import Catalogue, Execution, Refused
+from walnutpost.fronts.calls import Unreached
+from walnutpost.gateway import Catalogue, Execution, Refused, Status
 from walnutpost.interface import RequestClass
-from walnutpost.journal import Accepted, Ended, Intended, Place, Purged, Terms, Told, Withdrawn, chosen
+from walnutpost.journal import (
+    Accepted,
+    Call,
+    Ended,
+    Intended,
+    Joined,
+    Place,
+    Purged,
+    Reached,
+    Spans,
+    Terms,
+    Told,
+    Withdrawn,
+    chosen,
+)
 from walnutpost.loop import Loop
-from walnutpost.replica import Holding, Sending
+from walnutpost.replica import Holding, Sending, asked
 from walnutpost.store import Appending, Database, JournalStore
 
 LOOK_EVERY = 500_000
@@ -42,6 +57,7 @@
         self.holding = Holding(loop, self.store, address_of(line.listen), log)
         terms = Terms(us(line.lost_after_ms), us(line.pause_ms), int(line.backlog_mb * (1 << 20)))
         addresses = {h.name: _address(h) for h in line.holders}
+        self._others = {name: address for name, address in addresses.items() if name != line.name}
         self.sending = Sending(loop, self.store, addresses, self._chosen(), terms, us(line.answer_ms), log)
 
     def _chosen(self) -> tuple[str, ...]:
@@ -102,6 +118,23 @@
         self.store.appended(line)
         self.sending.written(line.line.seq, line.line.size)
 
+    # What others know
+
+    def elsewhere(self, ident: str) -> Execution | None:
+        """A call that this front end did not take, as journals here and at the other sites tell it. Raises
+        Unreached where none knows it, and some could not be asked."""
+        said, silent = Joined(), list[str]()
+        said.take(Spans(), self.store.of_call(ident))
+        call = said.calls.get(ident, Call())
+        if call.reached is not Reached.ENDED:  # its origin, or another holder, may know more
+            lines, silent = asked(self._loop, self._others, ident, us(self._line.answer_ms))
+            said.take(Spans(), lines)
+            call = said.calls.get(ident, Call())
+        found = None if call.reached is Reached.WITHDRAWN else _execution(call)
+        if found is None and silent and call.reached is Reached.UNKNOWN:
+            raise Unreached(f"no site that can be reached knows it; not asked: {', '.join(sorted(silent))}")
+        return found
+
     # Lines, to be committed with what they tell of
 
     def accepted(self, e: Execution) -> Appending:
@@ -140,3 +173,23 @@
 
 def _address(holder: HolderLine) -> Any:
     return lambda: address_of(holder.address)
+
+
+def _execution(call: Call) -> Execution | None:
+    """As a client is told it; None where the line that began it is not known."""
+    a, e = call.accepted, call.ended
+    if a is None:
+        return None
+    began = Execution(
+        a.call, a.name, a.function, a.version, a.tenant, a.payload, a.digest, a.accepted_at, a.expires_at
+    )
+    if e is None:
+        return began
+    return replace(
+        began,
+        status=Status(e.status),
+        ended_at=e.ended_at,
+        result=e.result,
+        error_type=e.error_type,
+        error_message=e.error_message,
+    )
--- a/packages/daemon/tests/test_journaling.py
+++ b/packages/daemon/tests/test_journaling.py
@@ -19,6 +19,7 @@
 from walnutpost.trials.mesh import Relay
 
 SITES = {"a1": ("east", "a"), "b1": ("east", "b"), "c1": ("west", "c")}
+ARN = "x-amz-durable-execution-arn"
 RUN = "reserve"  # an unsafe function
 
 
@@ -84,17 +85,17 @@
         finally:
             connection.close()
 
-    def status(self, at: str, response: Response) -> str:
-        arn = response.headers["x-amz-durable-execution-arn"]
+    def ask_status(self, at: str, response: Response) -> Response:
+        arn = response.headers[ARN].replace(":", "%3A").replace("/", "%2F")
         connection = Connection.open(self.loop, self.fronts[at].address)
         try:
-            got = connection.ask(
-                "GET", f"/2025-12-01/durable-executions/{arn.replace(':', '%3A').replace('/', '%2F')}"
-            )
-            return str(json.loads(got.body)["Status"])
+            return connection.ask("GET", f"/2025-12-01/durable-executions/{arn}")
         finally:
             connection.close()
 
+    def status(self, at: str, response: Response) -> str:
+        return str(json.loads(self.ask_status(at, response).body)["Status"])
+
     def joined(self, origin: str, *holders: str) -> Joined:
         """What the holders' copies of an origin's journal say together."""
         found = Joined()
@@ -118,8 +119,11 @@
         assert {r.status for r in told.values()} == {202}
         assert all(int(r.headers["x-walnutpost-copies"]) >= copies for r in told.values())
         sites.loop.sleep(5 * SECOND)
-        assert {sites.status("a1", r) for r in told.values()} == {"SUCCEEDED"}
+        for site in SITES:  # wherever it is asked for, whoever holds it
+            assert {sites.status(site, r) for r in told.values()} == {"SUCCEEDED"}
         sites.lose("a1")
+        for site in ("b1", "c1"):
+            assert {sites.status(site, r) for r in told.values()} == {"SUCCEEDED"}
         for part in (["b1", "c1"],) if holders == 1 else (["b1"], ["c1"]):
             joined = sites.joined("a1", *part)
             assert {c.reached for c in joined.kept().values()} == {Reached.ENDED} and not joined.gaps
@@ -202,6 +206,26 @@
     sites.play(script)
 
 
+def test_a_fate_is_the_same_at_each_site_and_unknown_only_where_all_were_asked(
+    tmp_path: Path,
+) -> None:
+    sites = Sites(tmp_path, copies=2)
+
+    def script() -> None:
+        told = sites.defer("a1", RUN, "one")
+        assert {sites.status(site, told) for site in SITES} == {"RUNNING"}
+        sites.loop.sleep(3 * SECOND)
+        assert {sites.status(site, told) for site in SITES} == {"SUCCEEDED"}
+        unknown = Response(202, {"x-amz-durable-execution-arn": told.headers[ARN][:-32] + "0" * 32})
+        assert sites.ask_status("b1", unknown).status == 404
+        sites.relays["a1"].cut()
+        silent = sites.ask_status("b1", unknown)
+        assert silent.status == 503 and b"not asked: a1" in silent.body and "retry-after" in silent.headers
+        assert sites.status("b1", told) == "SUCCEEDED"
+
+    sites.play(script)
+
+
 def test_a_restarted_origin_goes_on_with_its_numbers_and_an_old_disk_numbers_nothing(tmp_path: Path) -> None:
     sites = Sites(tmp_path)
 
--- a/packages/fronts/src/walnutpost/fronts/calls.py
+++ b/packages/fronts/src/walnutpost/fronts/calls.py
@@ -9,6 +9,10 @@
 from walnutpost.store import Change, Listing
 
 
+class Unreached(Exception):
+    """Whether a call is known can't be told now: sites that may know it don't answer."""
+
+
 class Calls(Protocol):
     """Synchronous calls."""
 
@@ -45,7 +49,8 @@
     def copies(self, ident: str) -> int | None:
         """At how many other sites the call stands; None where that is not asked for."""
 
-    def fate(self, function: str, ident: str) -> Execution | None: ...
+    def fate(self, function: str, ident: str) -> Execution | None:
+        """None where nobody knows it; raises Unreached."""
 
     def stop(self, function: str, ident: str) -> Execution | None: ...
 
--- a/packages/fronts/src/walnutpost/fronts/invoke/front.py
+++ b/packages/fronts/src/walnutpost/fronts/invoke/front.py
@@ -5,7 +5,7 @@
 import uuid
 from collections.abc import Callable
 
-from walnutpost.fronts.calls import Calls, DeferredCalls
+from walnutpost.fronts.calls import Calls, DeferredCalls, Unreached
 from walnutpost.fronts.invoke import protocol
 from walnutpost.fronts.invoke.protocol import (
     GetExecution,
@@ -21,6 +21,8 @@
 from walnutpost.interface import RequestClass
 from walnutpost.store import Listing
 
+LATER = 1_000_000  # what a client is told to wait where other sites must be asked and do not answer
+
 
 class InvokeFront:
     """A handler for http.Server. Callers are not verified."""
@@ -62,6 +64,8 @@
                     self._function(operation.function, None)
                     rows, more = self._deferred.list(operation)
                     return protocol.list_response(rows, more, self._names, request_id)
+        except Unreached as error:
+            return protocol.problem(Problem(503, "ServiceException", str(error), LATER), request_id)
         except Problem as error:
             return protocol.problem(error, request_id)
 
--- a/packages/node/tests/node_rig.py
+++ b/packages/node/tests/node_rig.py
@@ -7,10 +7,14 @@
 from collections.abc import Callable
 from typing import Any
 
+import dns.message
+import dns.rrset
 import msgpack
 
+from walnutpost.interface import WorkerState
 from walnutpost.loop import Listener, Loop, Stream, VirtualClock, connect
 from walnutpost.node.config import parse
+from walnutpost.node.directory import SERVICE
 from walnutpost.node.run import Node
 
 SECOND = 1_000_000
@@ -88,6 +92,7 @@
 
     def __init__(self, loop: Loop, name: str) -> None:
         self.name = name
+        self.state = WorkerState.READY
         self.got: list[Words] = []
         self.streams: list[Stream] = []
         self.answer: Callable[[Words], bytes | None] = self.good
@@ -133,6 +138,21 @@
             stream.close()
 
 
+def listing(query: bytes, serial: int, workers: list[Worker]) -> bytes:
+    """The name server's answer to a query: all workers, as they are."""
+    message = dns.message.make_response(dns.message.from_wire(query))
+    rows = [(message.authority, "svc.local.", "SOA", f"a. b. {serial} 1 1 1 1")]
+    for w in workers:
+        host, _, port = w.target["endpoint"].partition(":")
+        name, draining = f"{w.name}.east.hosts.", int(w.state is not WorkerState.READY)
+        rows.append((message.answer, SERVICE, "SRV", f"{draining} 10 {port} {name}"))
+        rows.append((message.additional, name, "A", host))
+        rows.append((message.additional, name, "TXT", '"kind=std" "cell=0" "started=0"'))
+    for section, name, kind, text in rows:
+        section.append(dns.rrset.from_text(name, 0, "IN", kind, text))
+    return message.to_wire()
+
+
 def reply(id: bytes, word: bytes, fields: bytes = b"-", body: bytes = b"") -> bytes:
     return b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(w), w) for w in (id, word, fields, body))
 
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -4,17 +4,17 @@
 
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from typing import Any
 
 import msgpack
 import pytest
 
-from node_rig import SECOND, Words, Worker, World, play, reply
+from node_rig import SECOND, Words, Worker, World, listing, play, reply
 from walnutpost.gateway import HoldDone, Order
-from walnutpost.interface import Outcome
+from walnutpost.interface import Outcome, WorkerState
 from walnutpost.node.clients import OPEN_MOST, SILENT_TIME
-from walnutpost.node.run import STOP_AFTER
 
 REFUSED, FAILED = ["Overloaded", {}], ["Internal", {}]
 
@@ -268,15 +268,44 @@
     play(script)
 
 
+def test_a_drain_is_acted_on_before_it_counts_as_told_by_itself() -> None:
+    """A change counts as told 1.5 s after it happened, and no call begins at the worker from then on."""
+
+    def script(world: World) -> None:
+        client = world.client()
+        (worker,) = world.workers
+        warm(world, client)
+        with suppress(BlockingIOError):
+            while world.name_server.recv(512):
+                pass  # asked before the change
+        changed = world.loop.now()
+        while worker.state is WorkerState.READY:  # the server answers what it was asked after the change
+            world.loop.wait_readable(world.name_server.fileno())
+            query, address = world.name_server.recvfrom(512)
+            if len(query) >= 12:
+                worker.state = WorkerState.DRAINING
+                world.name_server.sendto(listing(query, 2, world.workers), address)
+        world.until(lambda: any("draining" in line for line in world.log.lines))
+        assert world.loop.now() - changed < 1_500_000
+        seen = len(worker.got)
+        client.send(budget="400")
+        assert client.next()[2] == REFUSED and len(worker.got) == seen
+
+    play(script, workers=1)
+
+
 def test_the_end_waits_for_what_is_open_and_takes_nothing_after() -> None:
     def script(world: World) -> None:
         client = world.client()
         worker = warm(world, client)
         ending = world.loop.spawn(world.node.stop)
-        world.loop.sleep(STOP_AFTER // 2)
+        # For 0.4 s connections come, for 0.2 s more requests do, on those that are open and on new ones.
+        world.loop.sleep(390_000)
         late = world.client()
-        late.send()
-        assert late.next()[2] is None
+        world.loop.sleep(260_000)
+        for each in (late, client, world.client()):
+            each.send()
+            assert each.next()[2] is None
         worker.answer = lambda words: None
         number = client.send(budget="1000")
         assert client.next()[1] == number and client.next() is None
--- a/packages/replica/src/walnutpost/replica/holder.py
+++ b/packages/replica/src/walnutpost/replica/holder.py
@@ -26,10 +26,23 @@
 
     def _handle(self, exchange: Exchange) -> Response:
         request = exchange.request
+        call = request.target.decode("ascii", "replace")
+        if request.method == "GET" and call.startswith(wire.CALLS):
+            return self._said(call.removeprefix(wire.CALLS))
         if request.method != "POST" or request.target != wire.COPIES.encode():
             return Response(404, body=b"found another target; wanted POST " + wire.COPIES.encode())
+        return self._take(request.body)
+
+    def _said(self, call: str) -> Response:
+        try:
+            return Response(200, body=wire.encode(wire.Said(tuple(self._store.of_call(call)))))
+        except StoreError as error:
+            self._log.error("journal", call=call, why=str(error))
+            return Response(507, body=str(error).encode())
+
+    def _take(self, body: bytes) -> Response:
         try:
-            batch = wire.decode(request.body, Batch)
+            batch = wire.decode(body, Batch)
         except wire.BadWire as error:
             return Response(400, body=str(error).encode())
         if batch.origin == self._store.own:
--- a/packages/replica/src/walnutpost/replica/wire.py
+++ b/packages/replica/src/walnutpost/replica/wire.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from walnutpost.journal import Batch, Have
+from walnutpost.journal import Batch, Have, Line
 
-COPIES = "/journal/1/copies"
+COPIES, CALLS = "/journal/1/copies", "/journal/1/calls/"
 BATCH_BYTES = 1 << 20  # of lines in one message; a single larger line goes alone
 BODY_MOST = 16 << 20
 
@@ -17,10 +17,16 @@
     """Bytes that are not what is spoken here."""
 
 
-T = TypeVar("T", Batch, Have)
+class Said(msgspec.Struct, frozen=True):
+    """What a front end's journals say of one call."""
 
+    lines: tuple[Line, ...]
 
-def encode(value: Batch | Have) -> bytes:
+
+T = TypeVar("T", Batch, Have, Said)
+
+
+def encode(value: Batch | Have | Said) -> bytes:
     return msgspec.msgpack.encode(value)
 
 
--- a/packages/replica/tests/test_lost_site.py
+++ b/packages/replica/tests/test_lost_site.py
@@ -34,7 +34,8 @@
             for n, (r, z) in SITES.items()
         ]
         wanted = {"copies": copies}
-        self.journal = {
+        self.more: dict[str, Any] = {}
+        self.journal: dict[str, Any] = {
             "listen": "127.0.0.1:0",
             "holders": holders,
             "classes": {"valuation": wanted, "reservation": wanted},
@@ -45,9 +46,10 @@
 
     def start(self, name: str) -> None:
         """The first with workers of its own, which are lost with it; the others only hold."""
-        section = {"journal": self.journal | {"name": name}, "front": {"store": f"{name}.db"}}
+        journal = {"journal": self.journal | {"name": name}} if self.journal else {}
+        section = journal | {"front": {"store": f"{name}.db"}}
         config = self.path / f"{name}.json"
-        config.write_text(json.dumps(merged(BASE, section)))
+        config.write_text(json.dumps(merged(merged(BASE, section), self.more)))
         command = [sys.executable, "-m", "walnutpost.cli", "--log", "json"]
         command += ["up" if name == "a1" else "serve", str(config)]
         with (self.path / f"{name}.log").open("wb") as log:
--- a/packages/store/src/walnutpost/store/executions.py
+++ b/packages/store/src/walnutpost/store/executions.py
@@ -11,13 +11,14 @@
 from walnutpost.loop import Loop
 from walnutpost.store.database import Change, Database, StoreError
 
+# With rowids: in an index of its own, a row of a kilobyte would take a page of four besides.
 SCHEMA = """
 create table if not exists executions (
     id text primary key, name text not null, function text not null, version text not null, tenant text,
     payload blob not null, digest text not null, accepted_at integer not null, expires_at integer not null,
     intended integer not null, status text not null, ended_at integer not null, result blob,
     error_type text not null, error_message text not null
-) without rowid;
+);
 create unique index if not exists by_name on executions (function, name);
 create index if not exists by_time on executions (function, accepted_at, id);
 create index if not exists by_status on executions (status, ended_at);
--- a/packages/store/src/walnutpost/store/journal.py
+++ b/packages/store/src/walnutpost/store/journal.py
@@ -33,8 +33,8 @@
 create table if not exists lines (
     origin text not null, seq integer not null, kind text not null, call text, at integer,
     data blob not null, sum integer not null, primary key (origin, seq)
-) without rowid;
-create index if not exists lines_by_call on lines (origin, call);
+);
+create index if not exists lines_by_call on lines (call, origin);
 create index if not exists lines_by_time on lines (origin, kind, at);
 """
 READ_MOST = 512  # lines read at a time
@@ -139,6 +139,10 @@
         lines = self._loop.blocking(self._read, "where origin = ? order by seq", (origin,))
         return Spans([(0, self.known.get(origin, 0))]), lines
 
+    def of_call(self, call: str) -> list[Line]:
+        """What any journal here says of it; raises StoreError."""
+        return self._loop.blocking(self._read, "where call = ?", (call,))
+
     def _read(self, where: str, values: Sequence[object]) -> list[Line]:
         return [Line(*row) for row in self._store.rows(f"select seq, data, sum from lines {where}", values)]
 
