An origin whose disk is older than its copies takes back what holders have before it numbers anything

Need: a backup put back, or an fsync that lied, ended all deferred calls of a front end until an operator came; worse, lines numbered in the moment before a holder spoke could be taken for the other lines that it had under the same numbers.

Copying takes a holder's word only for what it had at the start or was sent since; anything else means other lines, and ends the numbering.

Seen: on three sites with two copies an old disk put back knows the later call's fate, answers its name with the same call, goes on without a gap at either holder, runs the unsafe one once; with holders cut off at the start it refuses once they are back.

--- /dev/null
+++ b/packages/cli/src/walnutpost/cli/fleet.py
@@ -0,0 +1,50 @@
+"""`walnutpost fleet`: asking the keepers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NoReturn, TypeVar
+
+import click
+
+from walnutpost.cli.configs import end
+from walnutpost.cli.keepers import keepers_of
+from walnutpost.cli.run import make_loop
+from walnutpost.config.base import address_of
+from walnutpost.fleet import Answer
+from walnutpost.keeper import KeeperClient, NoAnswer
+from walnutpost.loop import Loop
+
+T = TypeVar("T")
+
+
+PATIENCE, EACH = 10_000_000, 3_000_000
+
+
+FORM = click.option("--format", "form", type=click.Choice(["table", "json"]), default="table")
+
+
+@click.group()
+def fleet() -> None:
+    """What the fleet has agreed on: who is out, what plans wait for, halts."""
+
+
+def with_keepers(config: Path, log: Any, ask: Callable[[KeeperClient], T]) -> T:
+    """Asks within a loop; no answer ends the program with code 3."""
+    loop: Loop = make_loop(log)
+    addresses = {line.name: address_of(line.address) for line in keepers_of(config).keepers}
+    try:
+        return loop.run(lambda: ask(KeeperClient(loop, addresses, PATIENCE, EACH)))
+    except NoAnswer as error:
+        _nobody(error)
+
+
+def _nobody(error: NoAnswer) -> NoReturn:
+    end(f"no quorum of the keepers answered: {error}", code=3)
+
+
+def tell(answer: Answer) -> None:
+    if not answer.done:
+        end(f"not done: {answer.why}", code=1)
+    click.echo(f"agreed at {answer.index}")
--- a/packages/cli/src/walnutpost/cli/main.py
+++ b/packages/cli/src/walnutpost/cli/main.py
@@ -13,9 +13,10 @@
 
 import click
 
-from walnutpost.cli import logs, run
+from walnutpost.cli import fleet_orders, fleet_plans, fleet_shown, logs, run
 from walnutpost.cli.configs import CONFIG, config_of, end
-from walnutpost.cli.keepers import agent, fleet, is_keepers, keeper, keepers_of
+from walnutpost.cli.fleet import fleet
+from walnutpost.cli.keepers import agent, is_keepers, keeper, keepers_of
 from walnutpost.cli.keys import keys
 from walnutpost.cli.times import local, upcoming
 from walnutpost.cli.usage import usage
@@ -41,13 +42,14 @@
 from walnutpost.trials.stage import StageError
 from walnutpost.trust import BadKeys
 
+FLEET_PARTS = fleet_orders, fleet_plans, fleet_shown  # their commands join the group as they are imported
 CAPTURE = click.option(
     "--capture", type=click.Path(path_type=Path), help="Write what the sockets carry to this file."
 )
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
-@click.version_option(package_name="walnutpost")
+@click.version_option(package_name="walnutpost-cli")
 @click.option("--log", "form", type=click.Choice(["console", "json"]), default="console", show_default=True)
 @click.option("--level", type=click.Choice(sorted(logs.LEVELS)), default="info", show_default=True)
 @click.pass_context
--- a/packages/cli/tests/test_config.py
+++ b/packages/cli/tests/test_config.py
@@ -15,7 +15,18 @@
 
 ROOT = Path(__file__).parents[3]
 
+HOLDER = {"name": "a", "address": "127.0.0.1:9", "region": "east", "zone": "a"}
+JOURNAL: dict[str, Any] = {"name": "a", "listen": "127.0.0.1:0", "holders": [HOLDER]}
 WRONG: list[tuple[dict[str, Any], str, str]] = [
+    ({"journal": JOURNAL | {"name": "z"}}, "journal", "found"),
+    ({"journal": JOURNAL | {"listen": "0.0.0.0:1"}}, "journal", "127.0.0.0/8"),
+    ({"journal": JOURNAL | {"holders": [HOLDER, HOLDER]}}, "journal", "names of their own"),
+    (
+        {"journal": JOURNAL | {"classes": {"valuation": {"copies": 3}}}},
+        "journal.classes.valuation.copies",
+        "found 3",
+    ),
+    ({"journal": JOURNAL | {"classes": {"sale": {}}}}, "(top)", "sale is none of site.classes"),
     ({"front": {"lissten": "x"}}, "front.lissten", "not known here"),
     ({"front": {"listen": "0.0.0.0:8400"}}, "front", "127.0.0.0/8"),
     ({"front": {"listen": "8400"}}, "front", "127.0.0.1:8400"),
@@ -85,3 +96,8 @@
     for command in ("serve", "worker", "up", "check-config", "trial", "audit"):
         assert command in result.output
         assert CliRunner().invoke(main, [command, "--help"]).exit_code == 0
+
+
+def test_the_version_is_told() -> None:
+    told = CliRunner().invoke(main, ["--version"])
+    assert told.exit_code == 0 and "0.2.0" in told.output
--- a/packages/config/src/walnutpost/config/model.py
+++ b/packages/config/src/walnutpost/config/model.py
@@ -346,6 +346,15 @@
     journal: Journal | None = None
     fleet: Fleet | None = None
 
+    @model_validator(mode="after")
+    def _copies(self) -> Config:
+        named = set(self.journal.classes) if self.journal is not None else set()
+        if unknown := sorted(named - set(self.site.classes)):
+            raise ValueError(
+                f"journal.classes of known classes; {', '.join(unknown)} is none of site.classes"
+            )
+        return self
+
     @model_validator(mode="after")
     def _budgets(self) -> Config:
         budgets = self.metering.budgets if self.metering is not None else {}
--- a/packages/daemon/src/walnutpost/daemon/journaling.py
+++ b/packages/daemon/src/walnutpost/daemon/journaling.py
@@ -26,10 +26,11 @@
     Told,
     Withdrawn,
     chosen,
+    taken,
 )
 from walnutpost.loop import Loop
-from walnutpost.replica import Holding, Sending, asked
-from walnutpost.store import Appending, Database, JournalStore
+from walnutpost.replica import Holding, Sending, asked, recalled
+from walnutpost.store import Appending, ExecutionStore, JournalStore
 
 LOOK_EVERY = 500_000
 
@@ -42,7 +43,7 @@
         loop: Loop,
         config: Config,
         line: Journal,
-        database: Database,
+        executions: ExecutionStore,
         catalogue: Catalogue,
         classes: tuple[RequestClass, ...],
         log: Any,
@@ -53,12 +54,36 @@
         self._places = {h.name: Place(h.name, h.region, h.zone) for h in line.holders}
         self._shunned: dict[str, int] = {}
         self._lost: dict[str, int] = {}
-        self.store = JournalStore(loop, database, line.name)
+        self.store = JournalStore(loop, executions, line.name)
         self.holding = Holding(loop, self.store, address_of(line.listen), log)
+        self._addresses = {h.name: _address(h) for h in line.holders}
+        self._others = {name: address for name, address in self._addresses.items() if name != line.name}
+        self._catch_up(executions)
         terms = Terms(us(line.lost_after_ms), us(line.pause_ms), int(line.backlog_mb * (1 << 20)))
-        addresses = {h.name: _address(h) for h in line.holders}
-        self._others = {name: address for name, address in addresses.items() if name != line.name}
-        self.sending = Sending(loop, self.store, addresses, self._chosen(), terms, us(line.answer_ms), log)
+        answer = us(line.answer_ms)
+        self.sending = Sending(loop, self.store, self._addresses, self._chosen(), terms, answer, log)
+
+    def _catch_up(self, executions: ExecutionStore) -> None:
+        """Before anything is numbered: this disk may be older than its copies, a backup put back or one that
+        lost what it had called durable. What holders have beyond it is taken back, calls and numbers."""
+        own, last = self.store.own, self.store.known[self.store.own]
+        batches, silent = recalled(self._loop, self._others, own, last, us(self._line.answer_ms))
+        if silent:
+            self._log.warning("journal", why=f"did not say what they hold of it: {', '.join(sorted(silent))}")
+        if not batches:
+            return
+        said = Joined()
+        for batch in sorted(batches, key=lambda b: b.after):
+            if (take := taken(self.store.known, batch)) is not None:
+                self.store.take(take)
+            said.take(Spans(), batch.lines)
+        told = set(said.calls)
+        said.take(*self.store.held(own))  # of these calls, what the disk had besides
+        calls = {ident: said.calls[ident] for ident in told}
+        gone = [ident for ident, call in calls.items() if call.reached is Reached.WITHDRAWN]
+        known = [_execution(call) for ident, call in calls.items() if ident not in gone]
+        executions.put([e for e in known if e is not None], gone)
+        self._log.error("journal", why="this disk was older than its copies", after=last, calls=len(calls))
 
     def _chosen(self) -> tuple[str, ...]:
         now = self._loop.now()
@@ -181,7 +206,16 @@
     if a is None:
         return None
     began = Execution(
-        a.call, a.name, a.function, a.version, a.tenant, a.payload, a.digest, a.accepted_at, a.expires_at
+        a.call,
+        a.name,
+        a.function,
+        a.version,
+        a.tenant,
+        a.payload,
+        a.digest,
+        a.accepted_at,
+        a.expires_at,
+        bool(call.intents),
     )
     if e is None:
         return began
--- a/packages/daemon/tests/test_journaling.py
+++ b/packages/daemon/tests/test_journaling.py
@@ -226,8 +226,11 @@
     sites.play(script)
 
 
-def test_a_restarted_origin_goes_on_with_its_numbers_and_an_old_disk_numbers_nothing(tmp_path: Path) -> None:
-    sites = Sites(tmp_path)
+@pytest.mark.parametrize("reached", [True, False])
+def test_an_origin_with_an_old_disk_takes_back_what_holders_have_or_numbers_nothing(
+    tmp_path: Path, reached: bool
+) -> None:
+    sites = Sites(tmp_path, copies=2)
 
     def restart(replace: Path | None = None) -> None:
         front = sites.fronts.pop("a1")
@@ -241,19 +244,32 @@
         sites.loop.sleep(SECOND)
 
     def script() -> None:
-        assert sites.defer("a1", "price", "one").status == 202
+        assert sites.defer("a1", RUN, "one").status == 202
         sites.loop.sleep(3 * SECOND)
         restart()
         old = tmp_path / "old"
         shutil.copy(tmp_path / "a1.db", old)
-        assert sites.defer("a1", "price", "two").status == 202
+        two = sites.defer("a1", RUN, "two")
         sites.loop.sleep(3 * SECOND)
-        joined = sites.joined("a1", "b1", "c1")
-        assert not joined.gaps and len(joined.kept()) == 2
-        front = sites.fronts["a1"]
-        assert front.journaling is not None
-        restart(old)  # an older disk put back: its numbers are given out already
-        assert sites.defer("a1", "price", "three").status == 429
-        assert any("this disk does not" in line.get("why", "") for _, line in sites.log.lines)
+        assert sites.runs(RUN) == 2 and len(sites.joined("a1", "b1").kept()) == 2
+        if not reached:
+            sites.relays["b1"].cut()
+            sites.relays["c1"].cut()
+        restart(old)  # its numbers from here on have been given out already
+        if reached:
+            assert sites.status("a1", two) == "SUCCEEDED"
+            assert sites.defer("a1", RUN, "two").headers[ARN] == two.headers[ARN]  # the same call
+            assert sites.defer("a1", RUN, "three").status == 202
+            sites.loop.sleep(3 * SECOND)
+            for holder in ("b1", "c1"):
+                joined = sites.joined("a1", holder)
+                assert not joined.gaps and len(joined.kept()) == 3
+            assert sites.runs(RUN) == 3
+        else:
+            sites.relays["b1"].heal()
+            sites.relays["c1"].heal()
+            sites.loop.sleep(3 * SECOND)
+            assert sites.defer("a1", RUN, "three").status == 429
+            assert any("this disk does not" in line.get("why", "") for _, line in sites.log.lines)
 
     sites.play(script)
--- a/packages/journal/src/walnutpost/journal/copying.py
+++ b/packages/journal/src/walnutpost/journal/copying.py
@@ -131,12 +131,17 @@
     now: int
     last: int = 0  # durable here
     behind: bool = False
+    _start: int = field(init=False)
+    _sent: set[str] = field(default_factory=set)  # holders that lines were posted to since the start
     _holders: dict[str, _Holder] = field(default_factory=dict)
     _wanted: dict[int, Wanted] = field(default_factory=dict)
     _sizes: deque[tuple[int, int]] = field(default_factory=lambda: deque(maxlen=SIZES_MOST))
     _bytes: int = 0
     _effects: list[Effect] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        self._start = self.last
+
     def handle(self, now: int, event: Input) -> list[Effect]:
         self.now = max(self.now, now)
         match event:
@@ -159,7 +164,10 @@
             stale = self.now - h.heard >= self.terms.lost_after // 2  # asked in quiet times, too
             if h.posted is None and self.now >= h.try_at and (lacks or stale):
                 h.posted = self.now
-                self._effects.append(Post(holder, h.seq if h.disk is not None and lacks else None))
+                after = h.seq if h.disk is not None and lacks else None
+                if after is not None:
+                    self._sent.add(holder)
+                self._effects.append(Post(holder, after))
         for token in [t for t, w in self._wanted.items() if self._may_tell(w)]:
             del self._wanted[token]
         effects, self._effects = self._effects, []
@@ -211,7 +219,8 @@
 
     def _kept(self, holder: str, disk: str, seq: int) -> None:
         h = self._holders[holder]
-        if seq > self.last:
+        # What is numbered here since the start can't be there before it was sent: those are other lines.
+        if seq > (self.last if holder in self._sent else self._start):
             self.behind = True
             self._effects.append(Behind(holder, seq))
             seq = self.last
--- a/packages/journal/tests/test_copying.py
+++ b/packages/journal/tests/test_copying.py
@@ -122,6 +122,7 @@
     machine.handle(0, Placed(("x", "y")))
     machine.handle(0, Written(seq, 100))
     for holder in "xy"[:copies]:
+        machine.handle(1, Kept(holder, f"{holder}-0", 0))
         machine.handle(1, Kept(holder, f"{holder}-0", seq))
     return machine
 
@@ -133,8 +134,9 @@
     machine = kind(TERMS, 0)
     machine.handle(0, Placed(("x",)))
     machine.handle(0, Written(5, 100))
+    machine.handle(1, Kept("x", "x-0", 0))
     machine.handle(1, Kept("x", "x-0", 5))
-    assert machine.copies(5) == 1
+    assert machine.copies(5) == 1 and not machine.behind
     again = machine.handle(2, Kept("x", "x-1", 0))
     assert machine.copies(5) == copies
     assert (Post("x", 0) in again) == (copies == 0)  # sent anew from the start; the wrong rule never would
@@ -177,6 +179,18 @@
     assert machine.waits(0, True, 1) is not None
 
 
+def test_numbers_given_out_before_a_holder_spoke_are_not_taken_for_the_lines_it_has() -> None:
+    machine = Copying(TERMS, 0, last=7)
+    machine.handle(0, Placed(("x",)))
+    machine.handle(1, Written(9, 100))  # numbered since the start, and not sent anywhere
+    assert Behind("x", 9) in machine.handle(2, Kept("x", "x-0", 9))
+    machine = Copying(TERMS, 0, last=7)
+    machine.handle(0, Placed(("x",)))
+    machine.handle(1, Written(9, 100))
+    assert Post("x", 7) in machine.handle(2, Kept("x", "x-0", 7))
+    assert not machine.handle(3, Kept("x", "x-0", 9)) and not machine.behind
+
+
 def test_after_a_start_a_holder_is_asked_before_anything_is_sent() -> None:
     machine = Copying(TERMS, 0, last=7)
     assert machine.handle(0, Placed(("x",))) == [Post("x", None)]
--- a/packages/replica/src/walnutpost/replica/holder.py
+++ b/packages/replica/src/walnutpost/replica/holder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+from urllib.parse import unquote
 
 from walnutpost.http import BadMessage, Exchange, Limits, Response, Server
 from walnutpost.http.server import serve_on
@@ -26,9 +27,11 @@
 
     def _handle(self, exchange: Exchange) -> Response:
         request = exchange.request
-        call = request.target.decode("ascii", "replace")
-        if request.method == "GET" and call.startswith(wire.CALLS):
-            return self._said(call.removeprefix(wire.CALLS))
+        target = request.target.decode("ascii", "replace")
+        if request.method == "GET" and target.startswith(wire.CALLS):
+            return self._said(target.removeprefix(wire.CALLS))
+        if request.method == "GET" and target.startswith(wire.LINES):
+            return self._lines(*target.removeprefix(wire.LINES).partition("/"))
         if request.method != "POST" or request.target != wire.COPIES.encode():
             return Response(404, body=b"found another target; wanted POST " + wire.COPIES.encode())
         return self._take(request.body)
@@ -40,6 +43,18 @@
             self._log.error("journal", call=call, why=str(error))
             return Response(507, body=str(error).encode())
 
+    def _lines(self, origin: str, _: str, after: str) -> Response:
+        """What is held of a journal after a number: for its origin, whose disk may have lost it."""
+        origin, upto = unquote(origin), self._store.known.get(unquote(origin), 0)
+        if not after.isdigit():
+            return Response(400, body=b"after: wanted a number")
+        try:
+            found = self._store.batch(origin, int(after), upto, wire.BATCH_BYTES)
+        except StoreError as error:
+            self._log.error("journal", origin=origin, why=str(error))
+            return Response(507, body=str(error).encode())
+        return Response(200, body=wire.encode(found))
+
     def _take(self, body: bytes) -> Response:
         try:
             batch = wire.decode(body, Batch)
--- a/packages/replica/src/walnutpost/replica/wire.py
+++ b/packages/replica/src/walnutpost/replica/wire.py
@@ -8,7 +8,7 @@
 
 from walnutpost.journal import Batch, Have, Line
 
-COPIES, CALLS = "/journal/1/copies", "/journal/1/calls/"
+COPIES, CALLS, LINES = "/journal/1/copies", "/journal/1/calls/", "/journal/1/lines/"
 BATCH_BYTES = 1 << 20  # of lines in one message; a single larger line goes alone
 BODY_MOST = 16 << 20
 
--- a/packages/store/src/walnutpost/store/executions.py
+++ b/packages/store/src/walnutpost/store/executions.py
@@ -61,6 +61,17 @@
 
         self.change(change)
 
+    def put(self, executions: Sequence[Execution], gone: Sequence[str]) -> None:
+        """These as they are, in place of what is known of them; `gone`: ids that are no longer known."""
+        marks = ",".join("?" * len(COLUMNS))
+        rows = [_row(e) for e in executions]
+
+        def change(db: sqlite3.Connection) -> None:
+            db.executemany(f"insert or replace into executions values ({marks})", rows)
+            db.executemany("delete from executions where id=?", [(ident,) for ident in gone])
+
+        self.change(change)
+
     def update(self, execution: Execution, also: Change | None = None) -> None:
         values = (
             int(execution.intended),
