--- a/packages/journal/src/walnutpost/journal/__init__.py
+++ b/packages/journal/src/walnutpost/journal/__init__.py
@@ -26,7 +26,6 @@
     Purged,
     Withdrawn,
     call_of,
-    checksum,
     line,
 )
 from walnutpost.journal.spans import Spans
@@ -62,7 +61,6 @@
     "Written",
     "batch",
     "call_of",
-    "checksum",
     "chosen",
     "line",
     "taken",
--- a/packages/links/src/walnutpost/links/codec.py
+++ b/packages/links/src/walnutpost/links/codec.py
@@ -26,7 +26,7 @@
 EXECUTION = "x-amz-durable-execution-name"
 FULL_TYPES = ("TooManyRequestsException", "ResourceNotReadyException")
 MISS_TYPE, LOAD_FAILED_TYPE = "ResourceNotFoundException", "ModelLoadException"
-# What rules.py calls the figures of a report, by their ORCA names.
+# What the policy calls the figures of a report, by their ORCA names.
 FIELDS = {"cpu_utilization": "busy", "mem_utilization": "memory_tied", "queue": "queue", "loads": "loads"}
 USAGE = "/v2/usage"
 READY = encode_request("GET", "/v2/health/ready", "worker", {})
--- a/packages/store/src/walnutpost/store/database.py
+++ b/packages/store/src/walnutpost/store/database.py
@@ -97,20 +97,13 @@
         except sqlite3.Error as error:
             raise StoreError(str(error)) from error
 
-    def rows(self, query: str, values: Sequence[object]) -> list[tuple[Any, ...]]:
-        """On the helper thread, where the loop runs."""
+    def select(self, query: str, values: Sequence[object] = ()) -> list[tuple[Any, ...]]:
+        """Rows of any table; before the loop runs, or on its helper thread."""
         try:
             return self._db.execute(query, values).fetchall()
         except sqlite3.Error as error:
             raise StoreError(str(error)) from error
 
-    def select(self, query: str) -> list[tuple[Any, ...]]:
-        """Rows of any table; before the loop runs."""
-        try:
-            return self._db.execute(query).fetchall()
-        except sqlite3.Error as error:
-            raise StoreError(str(error)) from error
-
     def close(self) -> None:
         """After the loop has ended."""
         self._db.close()
--- a/packages/store/src/walnutpost/store/journal.py
+++ b/packages/store/src/walnutpost/store/journal.py
@@ -54,9 +54,7 @@
             "update journals set upto = upto + 1 where origin = ? returning upto", (self._origin,)
         ).fetchone()
         self.line = line(seq, self._record)
-        _insert(db, self._origin, (self.line,))
-        if isinstance(self._record, Purged):
-            _purge(db, self._origin, self._record.ended_before, seq)
+        _insert(db, self._origin, self.line, self._record)
 
 
 class JournalStore:
@@ -104,11 +102,8 @@
                 " do update set upto = excluded.upto",
                 (take.origin, take.upto),
             )
-            _insert(db, take.origin, take.lines)
             for found in take.lines:
-                record = _read_line(found)
-                if isinstance(record, Purged):
-                    _purge(db, take.origin, record.ended_before, found.seq)
+                _insert(db, take.origin, found, _read_line(found))
 
         self._store.change(change)
         self.known[take.origin] = max(self.known.get(take.origin, 0), take.upto)
@@ -144,19 +139,25 @@
         return self._loop.blocking(self._read, "where call = ?", (call,))
 
     def _read(self, where: str, values: Sequence[object]) -> list[Line]:
-        return [Line(*row) for row in self._store.rows(f"select seq, data, sum from lines {where}", values)]
-
-
-def _insert(db: sqlite3.Connection, origin: str, lines: Sequence[Line]) -> None:
-    for found in lines:
-        record = _read_line(found)
-        at = record.expires_at if isinstance(record, Accepted) else None
-        kind = type(record).__name__.lower() if record is not None else "bad"
-        call = call_of(record) if record is not None else None
-        db.execute(
-            "insert into lines values (?, ?, ?, ?, ?, ?, ?)",
-            (origin, found.seq, kind, call, at, found.data, found.sum),
-        )
+        return [Line(*row) for row in self._store.select(f"select seq, data, sum from lines {where}", values)]
+
+
+def _insert(db: sqlite3.Connection, origin: str, found: Line, record: Any_ | None) -> None:
+    """`record` is what the line says, None where it can't be read."""
+    db.execute(
+        "insert into lines values (?, ?, ?, ?, ?, ?, ?)",
+        (
+            origin,
+            found.seq,
+            type(record).__name__.lower() if record is not None else "bad",
+            call_of(record) if record is not None else None,
+            record.expires_at if isinstance(record, Accepted) else None,
+            found.data,
+            found.sum,
+        ),
+    )
+    if isinstance(record, Purged):
+        _purge(db, origin, record.ended_before, found.seq)
 
 
 def _read_line(found: Line) -> Any_ | None:
--- a/packages/store/tests/test_journal_store.py
+++ b/packages/store/tests/test_journal_store.py
@@ -172,7 +172,7 @@
     opened(path, work)
     main, wal = ((tmp_path / f"{name}.copy").read_bytes() for name in ("calls.db", "calls.db-wal"))
     counts = []
-    for cut in range(0, len(wal) + 1, max(1, len(wal) // 60)):
+    for cut in [*range(0, len(wal), max(1, len(wal) // 60)), len(wal)]:
         torn = tmp_path / f"torn-{cut}"
         torn.mkdir()
         (torn / "calls.db").write_bytes(main)
@@ -186,5 +186,5 @@
             continue
         assert numbers == list(range(1, len(numbers) + 1))
         counts.append(len(numbers))
-    assert counts == sorted(counts)
+    assert counts == sorted(counts) and counts[-1] == records
     assert opened(path, lambda _, s: len(s.held(s.own)[1])) == records
