--- a/packages/node/src/walnutpost/node/clients.py
+++ b/packages/node/src/walnutpost/node/clients.py
@@ -13,11 +13,11 @@
 
 OPEN_MOST = 32  # requests on one connection
 OUT_MOST = 1 << 20  # bytes of answers that a client hasn't fetched
-SILENT_TIME = 2_000_000  # until a connection without a whole message is closed
-STRANGER_TIME = 300_000  # in which a new connection may be about to send
-SWEEP = 250_000
+SILENT_US = 2_000_000  # until a connection without a whole message is closed
+STRANGER_US = 300_000  # in which a new connection may be about to send
+SWEEP_US = 250_000
 PATIENCE = 8  # requests of no use on one connection, after which it is read more slowly
-PAUSE = 200_000
+PAUSE_US = 200_000
 
 
 class Clients:
@@ -35,16 +35,16 @@
         self.log = log
         self.classes = {name: i for i, name in enumerate(classes)}
         self.waits = {name: cls.deadline for name, cls in zip(classes, settings.classes, strict=True)}
-        self.origins: dict[int, tuple[bytes, str]] = {}  # by ticket: id and class, as a worker gets them
-        self.rids: set[bytes] = set()  # those of origins
+        self.identities: dict[int, tuple[bytes, str]] = {}  # by ticket: id and class, as a worker gets them
+        self.open_ids: set[bytes] = set()  # those of identities
         self.connections: dict[Connection, None] = {}
         self._most = connections
         self.ending = False
         self.bad = self.turned_away = self.unreadable = 0
-        loop.call_later(SWEEP, self._sweep)
+        loop.call_later(SWEEP_US, self._sweep)
 
-    def origin(self, ticket: int) -> tuple[bytes, str]:
-        return self.origins[ticket]
+    def identity(self, ticket: int) -> tuple[bytes, str]:
+        return self.identities[ticket]
 
     def accept(self, listener: Listener) -> None:
         """A task: takes connections until the listener is closed."""
@@ -60,16 +60,16 @@
         now = self.loop.now()
 
         def worth(c: Connection) -> tuple[int, int]:
-            return (1 if c.known else 2 if now - c.used < STRANGER_TIME else 0), c.used
+            return (1 if c.known else 2 if now - c.used_us < STRANGER_US else 0), c.used_us
 
         idle = sorted((c for c in self.connections if c.idle), key=worth)
-        self.turned_away += any(c.lapse() for c in idle)
+        self.turned_away += any(c.close_if_idle() for c in idle)
 
     def _sweep(self) -> None:
         now = self.loop.now()
         for connection in list(self.connections):
             connection.look(now)
-        self.loop.call_later(SWEEP, self._sweep)
+        self.loop.call_later(SWEEP_US, self._sweep)
 
     def end(self) -> None:
         """From now on a connection is closed as soon as nothing is open on it."""
@@ -89,11 +89,11 @@
         self._flushing = False
         self._last = -1
         self._useless = 0
-        self._began: int | None = None  # since when a message has been incomplete
+        self._partial_since_us: int | None = None  # since when a message has been incomplete
         self.open: dict[int, int] = {}  # message id -> ticket
         self.known = False
-        self.used = self._loop.now()
-        self._opened = self.used
+        self.used_us = self._loop.now()
+        self._opened_us = self.used_us
         stream.on_readable(self._readable)
 
     @property
@@ -103,9 +103,9 @@
 
     def look(self, now: int) -> None:
         """Guards against clients that connect and say nothing, or stop within a message."""
-        since = self._opened if not self.known else self._began
-        if since is not None and now - since >= SILENT_TIME and self.idle:
-            self.lapse()
+        since = self._opened_us if not self.known else self._partial_since_us
+        if since is not None and now - since >= SILENT_US and self.idle:
+            self.close_if_idle()
 
     # In
 
@@ -133,9 +133,11 @@
             if wrong is not None:
                 self._clients.unreadable += 1
                 return self._close_after_answers()
-            self._began = (self._began or self._loop.now()) if self._reader.partial else None
+            self._partial_since_us = (
+                (self._partial_since_us or self._loop.now()) if self._reader.partial else None
+            )
             if self._useless > useless and self._useless > PATIENCE:
-                self._loop.call_later(PAUSE, self._listen)
+                self._loop.call_later(PAUSE_US, self._listen)
                 return None
         self._listen()
         return None
@@ -145,7 +147,7 @@
             self._stream.on_readable(self._readable)
 
     def _take(self, message: rpc.Incoming) -> None:
-        self.used = self._loop.now()
+        self.used_us = self._loop.now()
         match message:
             case rpc.Call():
                 self._call(message)
@@ -158,7 +160,7 @@
                         self._clients.core.leave(ticket)
             case rpc.Check(number):
                 self.known = True
-                self.put(rpc.checked(number, not self._clients.ending))
+                self.write(rpc.checked(number, not self._clients.ending))
             case rpc.Bad(number, reason):
                 self._bad(number, reason)
 
@@ -170,7 +172,7 @@
         self._last = max(self._last, number)
         if number in self.open:  # an answer under this number would be taken for the other's
             return self.close()
-        self.put(rpc.failed(number, reason))
+        self.write(rpc.failed(number, reason))
         return None
 
     def _call(self, call: rpc.Call) -> None:
@@ -180,17 +182,17 @@
             return self.close()
         self._last = call.number
         rid = call.rid.encode()
-        if rid in clients.rids:
+        if rid in clients.open_ids:
             return self._bad(call.number, "rid: this request is open already")
         if len(self.open) >= OPEN_MOST:
             self._useless += 1
-            self.put(rpc.refused(call.number))
+            self.write(rpc.refused(call.number))
             return None
         self.known = True
         ticket = clients.core.ticket()
         self.open[call.number] = ticket
-        clients.origins[ticket] = rid, call.cls
-        clients.rids.add(rid)
+        clients.identities[ticket] = rid, call.cls
+        clients.open_ids.add(rid)
         function = Function(
             call.function, clients.classes[call.cls], call.memory_mb, call.lanes, call.load_time
         )
@@ -201,9 +203,9 @@
         return None
 
     def _forget(self, ticket: int) -> None:
-        known = self._clients.origins.pop(ticket, None)
+        known = self._clients.identities.pop(ticket, None)
         if known is not None:
-            self._clients.rids.discard(known[0])
+            self._clients.open_ids.discard(known[0])
 
     # Out
 
@@ -213,13 +215,13 @@
             return
         match final:
             case Served(payload):
-                self.put(rpc.served(number, payload))
+                self.write(rpc.served(number, payload))
             case Refused(_, retry_after):
-                self.put(rpc.refused(number, retry_after))
+                self.write(rpc.refused(number, retry_after))
             case Failed():
-                self.put(rpc.failed(number))
+                self.write(rpc.failed(number))
 
-    def put(self, data: bytes) -> None:
+    def write(self, data: bytes) -> None:
         self._out.append(data)
         if not self._flushing and not self._rest:
             self._flushing = True
@@ -248,9 +250,9 @@
 
     def close_if_done(self) -> None:
         if self._clients.ending and self.idle:
-            self.lapse()
+            self.close_if_idle()
 
-    def lapse(self) -> bool:
+    def close_if_idle(self) -> bool:
         """Closes it unless something has come that is still to be read: a request that the kernel has taken
         is taken, and closing on it would lose it."""
         if self._stream.stale() and not self._stream.ended():
--- a/packages/node/src/walnutpost/node/config.py
+++ b/packages/node/src/walnutpost/node/config.py
@@ -30,8 +30,8 @@
     classes: tuple[str, ...]
     names: Names
     report_fields: tuple[str, ...]
-    dial_timeout: int
-    idle_time: int
+    dial_timeout_us: int
+    idle_time_us: int
     streams: int
 
 
@@ -70,8 +70,8 @@
                 tuple(map(str, root.items("Zones"))), tuple(map(str, root.items("Kinds"))), settings.weighted
             ),
             report_fields=tuple(map(str, root.part("Reporting").items("Fields"))),
-            dial_timeout=limits.needed_whole("DialTimeout"),
-            idle_time=limits.needed_whole("ConnIdle"),
+            dial_timeout_us=limits.needed_whole("DialTimeout"),
+            idle_time_us=limits.needed_whole("ConnIdle"),
             streams=limits.needed_whole("StreamsPerConn"),
         )
     except SettingsError as error:
--- a/packages/node/src/walnutpost/node/feed.py
+++ b/packages/node/src/walnutpost/node/discovery.py
@@ -12,13 +12,13 @@
 from walnutpost.loop import Loop
 from walnutpost.node.directory import Address, BadList, Directory
 
-PERIOD = 100_000  # between questions: a fraction of the time after which a change counts as told
+PERIOD_US = 100_000  # between questions: a fraction of the time after which a change counts as told
 ANSWER_MOST = 9000
 READS_MOST = 16
 
 
-class Feed:
-    """`told` is called with each new list."""
+class DiscoveryClient:
+    """`changed` is called with each new list."""
 
     def __init__(
         self,
@@ -26,12 +26,12 @@
         directory: Directory,
         address: Address,
         seed: int,
-        told: Callable[[WorkersTold], None],
+        changed: Callable[[WorkersTold], None],
         log: Any,
     ) -> None:
         self._loop = loop
         self._directory = directory
-        self._told = told
+        self._changed = changed
         self._log = log
         self._random = Random(seed)
         self._sock: socket.socket | None = None
@@ -58,7 +58,7 @@
 
     def _ask(self) -> None:
         self._send()
-        self._loop.call_later(PERIOD, self._ask)
+        self._loop.call_later(PERIOD_US, self._ask)
 
     def _send(self) -> None:
         if self._sock is not None:
@@ -90,4 +90,4 @@
                 self._log.info("name server", why=str(error))
             return
         if told is not None:
-            self._told(told)
+            self._changed(told)
--- a/packages/node/src/walnutpost/node/run.py
+++ b/packages/node/src/walnutpost/node/run.py
@@ -17,13 +17,13 @@
 from walnutpost.node.clients import Clients
 from walnutpost.node.config import Config, ConfigError, parse
 from walnutpost.node.directory import BadList, Directory
-from walnutpost.node.feed import Feed
-from walnutpost.node.workers import WorkerLimits, Workers
+from walnutpost.node.discovery import DiscoveryClient
+from walnutpost.node.pool import WorkerLimits, WorkerPool
 
 WORKER_SHARE, CLIENT_SHARE = 0.4, 0.5  # of the descriptors; the rest is for files and what else is open
-STOP_AFTER = 700_000  # from SIGTERM: until then connections and requests keep coming
-STOP_STEP = 5_000
-FIGURES_EVERY = 5_000_000
+DRAIN_PERIOD_US = 700_000  # from SIGTERM: until then connections and requests keep coming
+DRAIN_STEP_US = 5_000
+FIGURES_EVERY_US = 5_000_000
 
 
 class Log:
@@ -42,27 +42,27 @@
         self._log = log
         gateway = Gateway(config.settings, Catalogue({}), config.seed)
         limits = WorkerLimits(
-            config.dial_timeout,
-            config.idle_time,
+            config.dial_timeout_us,
+            config.idle_time_us,
             config.settings.order_timeout,
             config.streams,
             int(config.sockets * WORKER_SHARE),
             config.report_fields,
         )
-        self.workers = Workers(loop, limits, lambda ticket: self.clients.origin(ticket))
+        self.workers = WorkerPool(loop, limits, lambda ticket: self.clients.identity(ticket))
         self.core = Core(loop, gateway, self.workers, log)
         self.clients = Clients(
             loop, self.core, config.settings, config.classes, int(config.sockets * CLIENT_SHARE), log
         )
         self.directory = Directory(config.names)
         self._listed(self.directory.known(config.known))
-        self.feed = Feed(loop, self.directory, config.dns, config.seed, self._listed, log)
+        self.discovery = DiscoveryClient(loop, self.directory, config.dns, config.seed, self._listed, log)
         self.listener = Listener(loop, config.listen, role="client")
         self._accepting = loop.spawn(self.clients.accept, self.listener, name="accept")
-        loop.call_later(FIGURES_EVERY, self._figures)
+        loop.call_later(FIGURES_EVERY_US, self._figures)
 
     def _listed(self, told: WorkersTold) -> None:
-        self.workers.told(self.directory.addresses)
+        self.workers.update(self.directory.addresses)
         self.core.feed(told)
         if told.kind is not ListKind.CACHED:
             states = " ".join(f"{w.name}:{w.state.value}" for w in told.workers)
@@ -70,18 +70,18 @@
 
     def reload(self, config: Config) -> None:
         """Takes up what may change under load: where the name server is."""
-        self.feed.move(config.dns)
+        self.discovery.move(config.dns)
         self._log.info("configuration", dns=config.dns)
 
-    def stop(self) -> None:
-        """A task's work: serves on for STOP_AFTER, then ends what is open, and nothing new is taken."""
-        self._loop.sleep(STOP_AFTER)
+    def shut_down(self) -> None:
+        """A task's work: serves on for DRAIN_PERIOD_US, then ends what is open, and nothing new is taken."""
+        self._loop.sleep(DRAIN_PERIOD_US)
         self._accepting.cancel()
         self.listener.close()
         self.clients.end()
         while self.clients.connections:
-            self._loop.sleep(STOP_STEP)
-        self.feed.close()
+            self._loop.sleep(DRAIN_STEP_US)
+        self.discovery.close()
 
     def _figures(self) -> None:
         clients, workers = self.clients, self.workers
@@ -94,21 +94,21 @@
             dialled=workers.dialled,
             ordered=workers.ordered,
             asked=workers.asked,
-            listed=self.feed.asked,
+            listed=self.discovery.asked,
             spoilt=workers.spoilt_answers,
             bad=clients.bad,
             unreadable=clients.unreadable,
             turned_away=clients.turned_away,
-            lists=self.feed.useless,
+            lists=self.discovery.useless,
             cpu=round(time.process_time(), 2),
         )
         ends = (f"{worker}:{outcome.value}:{n}" for (worker, outcome), n in sorted_ends(workers))
         self._log.info("attempts", ended=" ".join(ends))
         workers.ends.clear()
-        self._loop.call_later(FIGURES_EVERY, self._figures)
+        self._loop.call_later(FIGURES_EVERY_US, self._figures)
 
 
-def sorted_ends(workers: Workers) -> list[tuple[tuple[str, Outcome], int]]:
+def sorted_ends(workers: WorkerPool) -> list[tuple[tuple[str, Outcome], int]]:
     return sorted(workers.ends.items(), key=lambda item: (item[0][0], item[0][1].value))
 
 
@@ -148,7 +148,7 @@
         log.info("listening", address=node.listener.address)
         loop.park()
         log.info("ending")
-        node.stop()
+        node.shut_down()
 
     try:
         loop.run(serve)
--- a/packages/node/tests/node_rig.py
+++ b/packages/node/tests/node_rig.py
@@ -234,6 +234,6 @@
         for world in worlds:
             world.name_server.close()
             world.node.listener.close()
-            world.node.feed.close()
+            world.node.discovery.close()
     if errors:
         raise errors[0]
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -14,7 +14,7 @@
 from node_rig import SECOND, Words, Worker, World, listing, play, reply
 from walnutpost.gateway import HoldDone, Order
 from walnutpost.interface import Outcome, WorkerState
-from walnutpost.node.clients import OPEN_MOST, SILENT_TIME
+from walnutpost.node.clients import OPEN_MOST, SILENT_US
 
 REFUSED, FAILED = ["Overloaded", {}], ["Internal", {}]
 
@@ -171,7 +171,7 @@
         world.until(lambda: len(worker.calls()) == 2)
         client.raw(msgpack.packb([2, "interrupt", [number]]))
         world.until(lambda: worker.got[-1] == [b"KILL", worker.calls()[1][1]])
-        assert world.node.core.open_calls == 0 and not world.node.clients.rids
+        assert world.node.core.open_calls == 0 and not world.node.clients.open_ids
 
     play(script, workers=1)
 
@@ -219,7 +219,7 @@
         assert twice.next() is None
         began = world.loop.now()
         assert silent.next() is None and half.next() is None
-        assert world.loop.now() - began < SILENT_TIME + SECOND
+        assert world.loop.now() - began < SILENT_US + SECOND
 
     play(script)
 
@@ -244,7 +244,7 @@
         client.send()  # the kernel has it, the node hasn't read it
         clients._make_room()
         assert client.next()[2] is None
-        connection.put(msgpack.packb(7))  # leaves at the end of the round
+        connection.write(msgpack.packb(7))  # leaves at the end of the round
         clients._make_room()
         assert client.next() == 7
         clients._make_room()
@@ -259,7 +259,7 @@
         other.setblocking(False)
         other.bind(("127.0.0.1", 0))
         world.loop.wait_readable(world.name_server.fileno())
-        world.node.feed.move(other.getsockname())
+        world.node.discovery.move(other.getsockname())
         world.loop.wait_readable(other.fileno())
         world.loop.forget(other.fileno())
         world.loop.forget(world.name_server.fileno())
@@ -298,7 +298,7 @@
     def script(world: World) -> None:
         client = world.client()
         worker = warm(world, client)
-        ending = world.loop.spawn(world.node.stop)
+        ending = world.loop.spawn(world.node.shut_down)
         # For 0.4 s connections come, for 0.2 s more requests do, on those that are open and on new ones.
         world.loop.sleep(390_000)
         late = world.client()
--- a/packages/policy/src/walnutpost/policy/placing.py
+++ b/packages/policy/src/walnutpost/policy/placing.py
@@ -14,7 +14,7 @@
 MISS_TRUST = 0.5  # of the usual load: how long a miss is believed; others may order a load meanwhile
 QUIET_PACE, QUIET_LEAST, QUIET_MOST = 2.0, 0.1, 0.5  # usual latencies of quiet until asked; bounds in aims
 QUIET_PRICE = 0.01  # of a question, up to which that pace holds; at e times the price it is one latency more
-COLD_CAUTION = 0.6  # of the derived budget: workers differ, and so do the front ends' slices
+SLOW_START_CAUTION = 0.6  # of the derived budget: workers differ, and so do the front ends' slices
 TURN_STEP, TURN_SHIFT = 0.6180339887, 0.7548776662  # irrational, so turns fall evenly on front ends and spans
 
 
@@ -111,7 +111,7 @@
                 apart = {Group.ZONE: first.zone != w.info.zone, Group.CELL: first.cell != w.info.cell}
                 if apart.get(group, False) or self._now - a.sent > req.cls.window:
                     return False
-        return self._cold_room(w)
+        return self._slow_start_room(w)
 
     def _may_try_again(self, req: Request) -> bool:
         limits, safe = self._s.limits, req.cls.effect is not Effect.UNSAFE
@@ -119,7 +119,7 @@
         alone = limits.parallel_tries or all(a.outcome for a in req.attempts)
         return left and alone and (safe or all(a.outcome in NEVER_RAN for a in req.attempts))
 
-    def _cold_room(self, w: Worker) -> bool:
+    def _slow_start_room(self, w: Worker) -> bool:
         """Rule 4: this front end's part of what a cold worker bears within any span, by what warm ones serve:
         so all parts add up. A part below one send is a turn in so many spans; one each would be too much."""
         g, age = self._s.guards, self._now - w.started
@@ -129,7 +129,7 @@
             w.sends.popleft()
         strength = g.start_capacity + (1 - g.start_capacity) * max(0, age) / g.cold_for
         rate = self._served.lately(self._now) / (self._ready or 1)
-        budget = COLD_CAUTION * g.overload_factor * strength * rate * g.overload_for
+        budget = SLOW_START_CAUTION * g.overload_factor * strength * rate * g.overload_for
         turn = ((self._s.index + w.info.id) * TURN_STEP + self._now // g.overload_for * TURN_SHIFT) % 1
         return len(w.sends) < (budget if budget >= 1 else turn < budget)
 
--- a/packages/policy/src/walnutpost/policy/state.py
+++ b/packages/policy/src/walnutpost/policy/state.py
@@ -48,7 +48,7 @@
     signed_at: int = 0
     faults: float = 0.0  # share of errors among its last answers
     fault_at: int = 0
-    sends: deque[int] = field(default_factory=lambda: deque(maxlen=512))  # for the cold budget
+    sends: deque[int] = field(default_factory=lambda: deque(maxlen=512))  # for slow start
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/policy/tests/test_defences.py
+++ b/packages/policy/tests/test_defences.py
@@ -352,7 +352,7 @@
             rig.now += 2 * SECOND
             rig.ended(rid := rig.ask(), 0, rig.router._requests[rid].attempts[0].worker)
         rig.listed(api.ListKind.DELTA, worker(2, started=rig.now))
-        sends += rig.router._cold_room(rig.router._workers[2])
+        sends += rig.router._slow_start_room(rig.router._workers[2])
     assert 0 < sends < 0.2 * 4 * 25  # start share x multiple x rate x the window of a second
 
 
--- a/packages/policy/tests/test_guards.py
+++ b/packages/policy/tests/test_guards.py
@@ -175,7 +175,7 @@
     assert len(sent) + len(_sends(rig, 60)) <= 8
     rig.now += 16 * SECOND
     rig.feed(api.TimerDue(1))
-    assert rig.router._cold_room(rig.router._workers[1])
+    assert rig.router._slow_start_room(rig.router._workers[1])
 
 
 RATIONED = replace(
