--- a/packages/core/src/walnutpost/core/__init__.py
+++ b/packages/core/src/walnutpost/core/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Protocol
 
 from walnutpost.gateway import (
@@ -103,7 +104,8 @@
             elif isinstance(event, HoldDone):
                 self.watch.held(now, event)
         for effect in self._gateway.handle(now, event):
-            self._carry_out(effect)
+            # One that can't be carried out must not keep back those behind it: they are others' answers.
+            self._loop.guarded("effect", partial(self._carry_out, effect))
 
     def barred(self, function: str, tenant: str | None) -> Refused | None:
         """The answer to a new call that is not let in."""
--- a/packages/gateway/src/walnutpost/gateway/catalogue.py
+++ b/packages/gateway/src/walnutpost/gateway/catalogue.py
@@ -35,6 +35,7 @@
     functions: Mapping[str, Function]
     tenants: tuple[str, ...] = ()
     default_tenant: str | None = None
+    unnamed: bool = False  # whether a call may come without a tenant where there are some: it is none of them
 
     def function(self, name: str) -> Function:
         try:
@@ -43,10 +44,12 @@
             raise UnknownName(f"no function {name!r}") from None
 
     def tenant_index(self, name: str | None) -> int:
-        """Its place in the settings' list; 0 where there are no tenants."""
+        """Its place in the settings' list, beyond its end for a call of no tenant; 0 where there are none."""
         name = name if name is not None else self.default_tenant
         if not self.tenants:
             return 0
+        if name is None and self.unnamed:
+            return len(self.tenants)
         if name is None:
             raise UnknownName("no tenant named, and there is no default one")
         try:
--- a/packages/gateway/src/walnutpost/gateway/core.py
+++ b/packages/gateway/src/walnutpost/gateway/core.py
@@ -32,6 +32,7 @@
     PingDone,
     Refused,
     Served,
+    ShuttingDown,
     Start,
     WorkersTold,
 )
@@ -97,6 +98,8 @@
                 self._attempt_done(event)
             case Due(token):
                 self._route(api.TimerDue(token))
+            case ShuttingDown(within):
+                self._route(api.ShuttingDown(within))
             case CallerLeft(ticket):
                 self._caller_left(ticket)
             case CallStopped(ticket) if ticket in self._tickets:
@@ -260,7 +263,7 @@
 
     def _act(self, action: api.Action) -> None:
         match action:
-            case api.Send(request, worker, timeout):
+            case api.Send(request, worker, timeout, latest):
                 call = self._calls[request]
                 name = self._workers.name(worker)
                 call.workers.append(name)
@@ -276,6 +279,7 @@
                         timeout,
                         call.tickets[0] if call.tickets else 0,
                         call.durable and call.cls.effect is not api.Effect.SAFE,
+                        latest,
                     )
                 )
             case api.Refuse(request, retry_after):
@@ -292,9 +296,9 @@
                 self._effects.append(Abandon(request, attempt))
             case api.SetTimer(delay, token):
                 self._effects.append(Arm(delay, token))
-            case api.Hold(worker, function, copies):
+            case api.Hold(worker, function, copies, latest):
                 self._effects.append(
-                    Order(self._workers.name(worker), self._functions.name(function), copies)
+                    Order(self._workers.name(worker), self._functions.name(function), copies, latest)
                 )
             case api.Unload(worker, function):
                 self._effects.append(Discard(self._workers.name(worker), self._functions.name(function)))
--- a/packages/gateway/src/walnutpost/gateway/messages.py
+++ b/packages/gateway/src/walnutpost/gateway/messages.py
@@ -134,7 +134,23 @@
     token: int
 
 
-Input = CallArrived | CallerLeft | CallStopped | AttemptDone | HoldDone | PingDone | WorkersTold | Due
+class ShuttingDown(Message, frozen=True):
+    """Every call, also one that arrives later, gets its final answer within so long."""
+
+    within: int
+
+
+Input = (
+    CallArrived
+    | CallerLeft
+    | CallStopped
+    | AttemptDone
+    | HoldDone
+    | PingDone
+    | WorkersTold
+    | Due
+    | ShuttingDown
+)
 
 
 # Effects
@@ -149,7 +165,8 @@
 
 class Start(Message, frozen=True):
     """Send the call to the worker; give up after `timeout`. Where `intent_first`, the store must hold
-    that it is being sent before the first byte leaves."""
+    that it is being sent before the first byte leaves. Where that has not left within `latest` (0: at any
+    time), it must not begin any more, and the attempt ends as MOOT."""
 
     call: int
     attempt: int
@@ -160,6 +177,7 @@
     timeout: int
     ticket: int
     intent_first: bool
+    latest: int = 0
 
 
 class Abandon(Message, frozen=True):
@@ -170,11 +188,12 @@
 
 
 class Order(Message, frozen=True):
-    """Have the worker hold at least so many copies; with none, ask how many stand."""
+    """Have the worker hold at least so many copies; with none, ask how many stand. `latest` as in Start."""
 
     worker: str
     function: str
     copies: int
+    latest: int = 0
 
 
 class Discard(Message, frozen=True):
--- a/packages/interface/src/walnutpost/interface/__init__.py
+++ b/packages/interface/src/walnutpost/interface/__init__.py
@@ -222,6 +222,13 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class ShuttingDown:
+    """Every request, also one that comes later, gets its final answer within so long."""
+
+    within: int
+
+
 @dataclass(frozen=True, slots=True)
 class PeerSaid:
     peer: int
@@ -238,14 +245,19 @@
     | ProbeEnded
     | TimerDue
     | PeerSaid
+    | ShuttingDown
 )
 
 
 @dataclass(frozen=True, slots=True)
 class Send:
+    """`latest`: for how long the decision holds, 0 for ever. Where the first byte has not left by then, the
+    attempt must not begin any more and ends as MOOT."""
+
     request: int
     worker: int
     timeout: int
+    latest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -273,11 +285,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Hold:
-    """A hold order; zero copies only asks how many stand."""
+    """A hold order; zero copies only asks how many stand. `latest` as in `Send`."""
 
     worker: int
     function: int
     copies: int
+    latest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/loop/src/walnutpost/loop/scheduler.py
+++ b/packages/loop/src/walnutpost/loop/scheduler.py
@@ -110,14 +110,37 @@
 class _Descriptor:
     """Who waits for one descriptor, and what the poll object was told of it."""
 
-    __slots__ = ("mask", "reader", "writer")
+    __slots__ = ("born", "mask", "reader", "writer")
 
-    def __init__(self) -> None:
+    def __init__(self, born: int) -> None:
+        self.born = born  # the round it was made in
         self.mask = 0
         self.reader: Callable[[], object] | None = None
         self.writer: Callable[[], object] | None = None
 
 
+class Periodic:
+    """What `Loop.every` returns. `failures` counts the runs that raised; each was reported."""
+
+    __slots__ = ("_callback", "_loop", "_name", "_period", "_timer", "failures")
+
+    def __init__(self, loop: Loop, name: str, period: int, callback: Callable[[], object]) -> None:
+        self._loop = loop
+        self._name = name
+        self._period = period
+        self._callback = callback
+        self._timer = loop.call_later(period, self._run)
+        self.failures = 0
+
+    def _run(self) -> None:
+        # Armed first: an error that nobody expected must cost one run, not all that would follow.
+        self._timer = self._loop.call_later(self._period, self._run)
+        self.failures += not self._loop.guarded(self._name, self._callback)
+
+    def cancel(self) -> None:
+        self._timer.cancel()
+
+
 class Loop:
     """One thread's tasks. Two loops share nothing, and each belongs to the thread that runs it.
 
@@ -136,6 +159,7 @@
         self._ready: deque[tuple[Task[Any], Any, BaseException | None]] = deque()
         self._poll = select.poll()
         self._descriptors: dict[int, _Descriptor] = {}
+        self._round = 0
         self._current: Task[Any] | None = None
         self._tasks: dict[Task[Any], None] = {}
         self._jobs: queue.SimpleQueue[Callable[[], object] | None] | None = None
@@ -158,6 +182,10 @@
     def call_later(self, delay: int, callback: Callable[[], object]) -> Timer:
         return self._timers.add(self.clock.now() + delay, callback)
 
+    def every(self, period: int, callback: Callable[[], object], name: str = "periodic") -> Periodic:
+        """Runs `callback` each `period`, for the first time after one, whether or not it raises."""
+        return Periodic(self, name, period, callback)
+
     def call_soon(self, callback: Callable[[], object]) -> None:
         """Runs `callback` at the end of this round, before the sockets are looked at again: what many
         callbacks of a round have to write leaves in one go. It must not wait."""
@@ -297,7 +325,7 @@
                     callback()
 
     def _watch(self, fd: int) -> _Descriptor:
-        return self._descriptors.get(fd) or self._descriptors.setdefault(fd, _Descriptor())
+        return self._descriptors.get(fd) or self._descriptors.setdefault(fd, _Descriptor(self._round))
 
     def _tell(self, fd: int) -> None:
         """Interest is only added here; what nobody waits for any more is dropped when it next fires. A
@@ -310,20 +338,23 @@
 
     def _fired(self, fd: int, events: int) -> None:
         known = self._descriptors.get(fd)
-        if known is None:
+        if (
+            known is None or known.born == self._round
+        ):  # the event is one of a closed socket's, under this number
             return
         reader = known.reader if events & (READ | BROKEN) else None
         writer = known.writer if events & (WRITE | BROKEN) else None
         if reader is not None:
             known.reader = None
-            self._guarded("reader", reader)
+            self.guarded("reader", reader)
         if writer is not None:
             known.writer = None
-            self._guarded("writer", writer)
+            self.guarded("writer", writer)
+        # What the callbacks have just begun to wait for is no idle interest.
         idle = 0
-        if reader is None and events & (READ | BROKEN):
+        if reader is None and known.reader is None and events & (READ | BROKEN):
             idle |= READ
-        if writer is None and events & (WRITE | BROKEN):
+        if writer is None and known.writer is None and events & (WRITE | BROKEN):
             idle |= WRITE
         if idle and known.mask & idle and self._descriptors.get(fd) is known:
             known.mask &= ~idle
@@ -352,13 +383,13 @@
             told = self._waker[0].recv(4096)
         except BlockingIOError:
             told = b""
+        self._listen_to_waker()  # first: what a callback raises must not leave the next signal unheard
         for number in told:
             callback = self._signals.get(number)
             if callback is not None:
-                callback()
+                self.guarded("signal", callback)
         while self._finished:
             self._finished.popleft()()
-        self._listen_to_waker()
 
     def on_signal(self, number: int, callback: Callable[[], object]) -> None:
         """Calls `callback` between tasks when the process gets the signal; main thread only."""
@@ -443,12 +474,13 @@
         ready = self._ready
         while not over():
             events = self._poll.poll(self._wait_ms())
+            self._round += 1
             for fd, what in events:
                 self._fired(fd, what)
             if self.clock.virtual and not events and not ready and not self._soon:
                 self._jump()
             for callback in self._timers.due(self.clock.now()):
-                self._guarded("timer", callback)
+                self.guarded("timer", callback)
             for _ in range(len(ready) + EXTRA_TURNS):
                 if not ready:
                     break
@@ -463,14 +495,17 @@
                     task._greenlet.throw(thrown)
                 self._current = None
             for _ in range(len(self._soon)):
-                self._guarded("soon", self._soon.popleft())
+                self.guarded("soon", self._soon.popleft())
 
-    def _guarded(self, what: str, callback: Callable[[], object]) -> None:
-        """One callback's error must not end the loop, and with it everything else."""
+    def guarded(self, what: str, callback: Callable[[], object]) -> bool:
+        """Runs it; False if it raised, which is reported. One callback's error must not end the loop, and
+        with it everything else."""
         try:
             callback()
         except Exception as error:
             self._on_error(what, error)
+            return False
+        return True
 
     def _wait_ms(self) -> int | None:
         if self._ready or self._soon:
--- a/packages/loop/src/walnutpost/loop/sockets.py
+++ b/packages/loop/src/walnutpost/loop/sockets.py
@@ -149,6 +149,13 @@
         if not self.closed:
             self._loop.on_writable(self._fd, callback)
 
+    def end_writing(self) -> None:
+        """Tells the other end that nothing more comes; what it sends can still be read. OSError if the
+        connection broke or was closed here."""
+        if self.closed:
+            raise ConnectionAbortedError(errno.ECONNABORTED, "closed here")
+        self._sock.shutdown(socket.SHUT_WR)
+
     def reset(self) -> None:
         """Closes so that the other end sees a reset, not an orderly end."""
         if not self.closed:
@@ -213,10 +220,13 @@
         role: str = "",
         backlog: int = 1024,
         make: Callable[..., Stream] = Stream,
+        make_room: Callable[[], bool] = lambda: False,
     ) -> None:
-        """`make` builds a stream of loop, socket, tap and role."""
+        """`make` builds a stream of loop, socket, tap and role; `make_room` is asked to close something
+        that can be spared when no descriptor is left, and says whether it did."""
         self._loop = loop
         self._make = make
+        self._make_room = make_room
         self._tap = tap
         self._role = role
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -235,18 +245,30 @@
     def accept(self, sorry: bytes = b"") -> Stream:
         """The next connection. Without a free descriptor, callers are told `sorry` and closed at once,
         on a spare one kept for this, instead of being left to hang in the backlog."""
+        while True:
+            stream = self._accepted(sorry)
+            if stream is not None:
+                return stream
+            self._loop.wait_readable(self._sock.fileno())
+
+    def accept_now(self) -> Stream | None:
+        """The next connection that the kernel has taken already, or None: before `close`, which would
+        reset it."""
+        return self._accepted(b"")
+
+    def _accepted(self, sorry: bytes) -> Stream | None:
         while True:
             try:
                 sock, _ = self._sock.accept()
             except BlockingIOError:
-                self._loop.wait_readable(self._sock.fileno())
-                continue
+                return None
             except ConnectionAbortedError:
                 continue
             except OSError as error:
                 if error.errno not in NO_DESCRIPTORS:
                     raise
-                self._turn_away(sorry)
+                if not self._make_room():
+                    self._turn_away(sorry)
                 continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -281,6 +303,10 @@
                 self._spare = None
         self._loop.breathe()
 
+    @property
+    def closed(self) -> bool:
+        return self._sock.fileno() < 0
+
     def close(self) -> None:
         if self._sock.fileno() >= 0:
             self._loop.forget(self._sock.fileno())
--- a/packages/loop/tests/test_loop.py
+++ b/packages/loop/tests/test_loop.py
@@ -318,3 +318,75 @@
 
     lo.run(main)
     assert done == ["job"]
+
+
+def test_an_event_of_a_closed_socket_is_none_of_the_one_that_got_its_number() -> None:
+    """Two sockets fire in one round; the first one's callback closes the second, and opens another there."""
+    loop, seen = Loop(VirtualClock()), list[str]()
+
+    def body() -> None:
+        pairs = [socket.socketpair() for _ in range(2)]
+        fresh: list[socket.socket] = []
+
+        def first() -> None:
+            number = pairs[1][0].fileno()
+            loop.forget(number)
+            pairs[1][0].close()
+            fresh.extend(socket.socketpair())
+            assert fresh[0].fileno() == number
+            loop.on_readable(number, lambda: seen.append(fresh[0].recv(9).decode()))
+
+        for mine, other in pairs:
+            mine.setblocking(False)
+            other.send(b"old")
+        loop.on_readable(pairs[0][0].fileno(), first)
+        loop.on_readable(pairs[1][0].fileno(), lambda: None)
+        loop.sleep(1000)
+        assert seen == []
+        fresh[1].send(b"new")
+        loop.sleep(1000)
+        for sock in (*pairs[0], pairs[1][1], *fresh):
+            loop.forget(sock.fileno())
+            sock.close()
+
+    loop.run(body)
+    assert seen == ["new"]
+
+
+def test_a_wait_begun_by_the_callback_of_a_broken_socket_is_kept() -> None:
+    loop, seen = Loop(VirtualClock()), list[str]()
+
+    def body() -> None:
+        mine, other = socket.socketpair()
+        mine.setblocking(False)
+        other.close()
+        fd = mine.fileno()
+        loop.on_writable(fd, lambda: loop.on_readable(fd, lambda: seen.append("ended")))
+        loop.sleep(10_000)
+        loop.forget(fd)
+        mine.close()
+
+    loop.run(body)
+    assert seen == ["ended"]
+
+
+def test_an_error_in_a_signals_callback_leaves_the_next_signal_heard() -> None:
+    errors: list[BaseException] = []
+    loop, heard = Loop(VirtualClock(), lambda name, error: errors.append(error)), list[int]()
+
+    def odd() -> None:
+        heard.append(1)
+        raise KeyError("a configuration that nobody foresaw")
+
+    def body() -> None:
+        loop.on_signal(signal.SIGHUP, odd)
+        for _ in range(2):
+            os.kill(os.getpid(), signal.SIGHUP)
+            loop.sleep(10_000)
+
+    before = signal.getsignal(signal.SIGHUP)
+    try:
+        loop.run(body)
+    finally:
+        signal.signal(signal.SIGHUP, before)
+    assert len(heard) == len(errors) == 2
--- a/packages/node/src/walnutpost/node/clients.py
+++ b/packages/node/src/walnutpost/node/clients.py
@@ -10,6 +10,7 @@
 from walnutpost.gateway import CallArrived, Failed, Final, Function, Refused, Served
 from walnutpost.loop import Listener, Loop, Stream
 from walnutpost.node import rpc
+from walnutpost.node.pool import Identity
 
 OPEN_MOST = 32  # requests on one connection
 OUT_MOST = 1 << 20  # bytes of answers that a client hasn't fetched
@@ -18,6 +19,10 @@
 SWEEP_US = 250_000
 PATIENCE = 8  # requests of no use on one connection, after which it is read more slowly
 PAUSE_US = 200_000
+USELESS_MOST = 256  # beside requests that are open: then nothing more is taken there
+TAKEN_BACK_MOST = 64  # requests taken back before they came
+LINGER_US = 500_000  # for a client to fetch its answers while what it sends is thrown away
+ACCEPT_PAUSE_US = 20_000  # after an error that nobody expected of the listener
 
 
 class Clients:
@@ -27,6 +32,7 @@
         core: Core,
         settings: api.Settings,
         classes: tuple[str, ...],
+        tenants: tuple[str, ...],
         connections: int,
         log: Any,
     ) -> None:
@@ -35,44 +41,56 @@
         self.log = log
         self.classes = {name: i for i, name in enumerate(classes)}
         self.waits = {name: cls.deadline for name, cls in zip(classes, settings.classes, strict=True)}
-        self.identities: dict[int, tuple[bytes, str]] = {}  # by ticket: id and class, as a worker gets them
+        self.tenants = tenants
+        self.identities: dict[int, Identity] = {}  # by ticket, as a worker gets them
         self.open_ids: set[bytes] = set()  # those of identities
         self.connections: dict[Connection, None] = {}
         self._most = connections
-        self.ending = False
+        self.draining = False  # told to end: serves on, but is not ready for more
+        self.ending = False  # takes nothing new
         self.bad = self.turned_away = self.unreadable = 0
-        loop.call_later(SWEEP_US, self._sweep)
+        self.sweeping = loop.every(SWEEP_US, self._sweep, "sweep of clients")
 
-    def identity(self, ticket: int) -> tuple[bytes, str]:
-        return self.identities[ticket]
+    def identity(self, ticket: int) -> Identity | None:
+        """None once its client has left or has been answered."""
+        return self.identities.get(ticket)
 
     def accept(self, listener: Listener) -> None:
         """A task: takes connections until the listener is closed."""
-        while True:
-            stream = listener.accept()
-            if len(self.connections) >= self._most:
-                self._make_room()
-            self.connections[Connection(self, stream)] = None
-
-    def _make_room(self) -> None:
-        """The oldest connection that never sent a whole message goes, else the one idle for longest, else one
-        that has hardly come. Where all have something open, there is one connection more."""
+        while not listener.closed:
+            try:
+                self.take(listener.accept())
+            except OSError as error:  # costs the connection that it came on, not all that follow
+                self.log.info("accept", why=repr(error))
+                self.loop.sleep(ACCEPT_PAUSE_US)
+
+    def take(self, stream: Stream) -> None:
+        if len(self.connections) >= self._most:
+            self.make_room()
+        self.connections[Connection(self, stream)] = None
+
+    def make_room(self) -> bool:
+        """Closes one connection that owes nothing; False where there is none. The oldest that never sent a
+        whole message goes, else the one idle for longest, else one that has hardly come."""
         now = self.loop.now()
 
         def worth(c: Connection) -> tuple[int, int]:
             return (1 if c.known else 2 if now - c.used_us < STRANGER_US else 0), c.used_us
 
         idle = sorted((c for c in self.connections if c.idle), key=worth)
-        self.turned_away += any(c.close_if_idle() for c in idle)
+        made = any(c.close_if_idle() for c in idle)
+        self.turned_away += made
+        return made
 
     def _sweep(self) -> None:
         now = self.loop.now()
         for connection in list(self.connections):
             connection.look(now)
-        self.loop.call_later(SWEEP_US, self._sweep)
 
     def end(self) -> None:
-        """From now on a connection is closed as soon as nothing is open on it."""
+        """From now on a connection is closed as soon as nothing is open on it, and what comes is refused."""
+        for connection in list(self.connections):
+            connection.read()  # what has come by now is still taken
         self.ending = True
         for connection in list(self.connections):
             connection.close_if_done()
@@ -83,18 +101,21 @@
         self._clients = clients
         self._loop = clients.loop
         self._stream = stream
-        self._reader = rpc.Reader(clients.waits)
+        self._reader = rpc.Reader(clients.waits, clients.tenants)
         self._out: list[bytes] = []
         self._rest = b""
         self._flushing = False
         self._last = -1
         self._useless = 0
+        self._deaf = False  # what comes can't be followed, or is too much: it is thrown away
+        self._lingers = False
+        self._taken_back: set[int] = set()  # numbers of requests that have not come yet
         self._partial_since_us: int | None = None  # since when a message has been incomplete
         self.open: dict[int, int] = {}  # message id -> ticket
         self.known = False
         self.used_us = self._loop.now()
         self._opened_us = self.used_us
-        stream.on_readable(self._readable)
+        stream.on_readable(self.read)
 
     @property
     def idle(self) -> bool:
@@ -109,58 +130,76 @@
 
     # In
 
-    def _readable(self) -> None:
+    def read(self) -> None:
+        """Takes what has come, if anything has."""
+        try:
+            self._read()
+        except Exception:  # costs this connection at the most; the loop tells of it
+            self.close()
+            raise
+
+    def _read(self) -> None:
         if self._stream.closed:
             return
         try:
             data = self._stream.recv_now(rpc.READ_MOST)
         except OSError:
             return self.close()
-        if data == b"":
+        # An end that has come behind these bytes says that their client has gone: nothing begins for it.
+        if data == b"" or (data and len(data) < rpc.READ_MOST and self._stream.ended()):
             return self.close()
-        if data:
+        if data and not self._deaf:
             useless = self._useless
             messages, wrong = self._reader.feed(data)
-            back = {n for message in messages if isinstance(message, rpc.Interrupt) for n in message.numbers}
             for message in messages:
-                if isinstance(message, rpc.Call) and message.number in back and message.number > self._last:
-                    self._last = message.number  # taken back before it was read: nobody asked
-                    self._useless += 1
-                    continue
+                if isinstance(message, rpc.Interrupt):
+                    ahead = [n for n in (*self._taken_back, *message.numbers) if n > self._last]
+                    self._taken_back = set(ahead[-TAKEN_BACK_MOST:])
+            for message in messages:
                 self._take(message)
-                if self._stream.closed:
-                    return None
-            if wrong is not None:
+                if self._deaf or self._stream.closed:
+                    break
+            if wrong is not None and not self._deaf:
                 self._clients.unreadable += 1
-                return self._close_after_answers()
+                self._stop_listening()
             self._partial_since_us = (
                 (self._partial_since_us or self._loop.now()) if self._reader.partial else None
             )
-            if self._useless > useless and self._useless > PATIENCE:
-                self._loop.call_later(PAUSE_US, self._listen)
-                return None
+            if self._useless > useless and self._useless > PATIENCE and not self._deaf:
+                if not self.open:  # else its leaving would be seen late
+                    self._loop.call_later(PAUSE_US, self._listen)
+                    return None
+                if self._useless > USELESS_MOST:
+                    self._stop_listening()
         self._listen()
         return None
 
     def _listen(self) -> None:
-        if not self._stream.closed and len(self._rest) < OUT_MOST // 4:
-            self._stream.on_readable(self._readable)
+        if not self._stream.closed:
+            self._stream.on_readable(self.read)
+
+    def _stop_listening(self) -> None:
+        """What was asked here before is still answered; what comes now is not looked at, but its end is."""
+        self._deaf = True
+        self._partial_since_us = None
+        self.close_if_done()
 
     def _take(self, message: rpc.Incoming) -> None:
         self.used_us = self._loop.now()
         match message:
+            case rpc.Call(number) if number in self._taken_back and number > self._last:
+                self._taken_back.discard(number)
+                self._last = number  # nobody asks any more
+                self._useless += 1
             case rpc.Call():
                 self._call(message)
             case rpc.Interrupt(numbers):
                 self.known = True
                 for number in numbers:
-                    ticket = self.open.pop(number, None)
-                    if ticket is not None:
-                        self._forget(ticket)
-                        self._clients.core.leave(ticket)
+                    self._leave(number)
             case rpc.Check(number):
                 self.known = True
-                self.write(rpc.checked(number, not self._clients.ending))
+                self.write(rpc.checked(number, not self._clients.draining))
             case rpc.Bad(number, reason):
                 self._bad(number, reason)
 
@@ -170,34 +209,51 @@
         if self._clients.bad <= 20:
             self._clients.log.info("unusable request", why=reason)
         self._last = max(self._last, number)
-        if number in self.open:  # an answer under this number would be taken for the other's
-            return self.close()
+        if number in self.open:
+            return self._twice(number)
         self.write(rpc.failed(number, reason))
         return None
 
+    def _twice(self, number: int) -> None:
+        """An answer under a number that stands for two requests could be taken for the other's: it gets none,
+        and the connection ends once the others have theirs."""
+        self._leave(number)
+        self._stop_listening()
+
+    def _leave(self, number: int) -> None:
+        ticket = self.open.pop(number, None)
+        if ticket is not None:
+            self._forget(ticket)
+            self._clients.core.leave(ticket)
+
     def _call(self, call: rpc.Call) -> None:
         clients = self._clients
         if call.number <= self._last:
             clients.bad += 1
-            return self.close()
+            return self._twice(call.number)
         self._last = call.number
         rid = call.rid.encode()
         if rid in clients.open_ids:
             return self._bad(call.number, "rid: this request is open already")
-        if len(self.open) >= OPEN_MOST:
+        if len(self.open) >= OPEN_MOST or len(self._rest) > OUT_MOST // 4 or clients.ending:
             self._useless += 1
             self.write(rpc.refused(call.number))
             return None
         self.known = True
         ticket = clients.core.ticket()
         self.open[call.number] = ticket
-        clients.identities[ticket] = rid, call.cls
+        clients.identities[ticket] = rid, call.cls, call.repeat_key
         clients.open_ids.add(rid)
         function = Function(
-            call.function, clients.classes[call.cls], call.memory_mb, call.lanes, call.load_time
+            call.function,
+            clients.classes[call.cls],
+            call.memory_mb,
+            call.lanes,
+            call.load_time,
+            call.cost,
         )
         arrived = CallArrived(
-            ticket, call.function, call.body, call.budget, None, "", call.again, of=function
+            ticket, call.function, call.body, call.budget, call.tenant, "", call.again, of=function
         )
         clients.core.arrive(arrived, partial(self._answered, call.number, ticket))
         return None
@@ -231,7 +287,7 @@
         self._flushing = False
         if self._stream.closed:
             return
-        held, self._rest = self._rest, self._rest + b"".join(self._out)
+        self._rest += b"".join(self._out)
         self._out.clear()
         try:
             if self._rest:
@@ -243,29 +299,38 @@
         if self._rest:
             self._stream.on_writable(self._flush)
         else:
-            if held:
-                self._listen()
             self.close_if_done()
         return None
 
     def close_if_done(self) -> None:
-        if self._clients.ending and self.idle:
+        if not self.idle:
+            return
+        if self._deaf:
+            self._linger()
+        elif self._clients.ending:
             self.close_if_idle()
 
+    def _linger(self) -> None:
+        """Ends its own side first: a close on bytes that nobody reads would reset the connection, and take
+        away answers that the client has not fetched yet."""
+        if not self._lingers:
+            self._lingers = True
+            try:
+                self._stream.end_writing()
+            except OSError:
+                return self.close()
+            self._loop.call_later(LINGER_US, self.close)
+        return None
+
     def close_if_idle(self) -> bool:
         """Closes it unless something has come that is still to be read: a request that the kernel has taken
         is taken, and closing on it would lose it."""
-        if self._stream.stale() and not self._stream.ended():
-            self._readable()
+        if not self._deaf and self._stream.stale() and not self._stream.ended():
+            self.read()
             return False
         self.close()
         return True
 
-    def _close_after_answers(self) -> None:
-        """What was answered before the line became unreadable still leaves."""
-        self._flush()
-        self.close()
-
     def close(self) -> None:
         if self._stream.closed:
             return
--- a/packages/node/src/walnutpost/node/config.py
+++ b/packages/node/src/walnutpost/node/config.py
@@ -28,6 +28,7 @@
     known: dict[str, Any]
     settings: api.Settings
     classes: tuple[str, ...]
+    tenants: tuple[str, ...]
     names: Names
     report_fields: tuple[str, ...]
     dial_timeout_us: int
@@ -66,6 +67,7 @@
             known=told["known"],
             settings=settings,
             classes=tuple(str(profile.need("Name")) for profile in profiles),
+            tenants=tuple(str(realm.need("Name")) for realm in root.parts("Realms")),
             names=Names(
                 tuple(map(str, root.items("Zones"))), tuple(map(str, root.items("Kinds"))), settings.weighted
             ),
@@ -76,5 +78,7 @@
         )
     except SettingsError as error:
         raise ConfigError(str(error)) from error
+    except (TypeError, AttributeError, KeyError, OverflowError) as error:
+        raise ConfigError(f"the configuration: {type(error).__name__}: {error}") from error
     except ValueError as error:
         raise ConfigError(f"seed: found {told.get('seed')!r}, wanted hex digits") from error
--- a/packages/node/src/walnutpost/node/directory.py
+++ b/packages/node/src/walnutpost/node/directory.py
@@ -185,7 +185,7 @@
                 self._names.kind(text.get("kind", "")),
                 int(text.get("cell", "0") or 0),
                 WorkerState.DRAINING if record.priority else WorkerState.READY,
-                record.weight / WEIGHT_SCALE if self._names.weighted else 1.0,
+                max(1, record.weight) / WEIGHT_SCALE if self._names.weighted else 1.0,
                 int(text.get("started", "0") or 0) * MS,
             )
         except (ValueError, IndexError) as error:
--- a/packages/node/src/walnutpost/node/discovery.py
+++ b/packages/node/src/walnutpost/node/discovery.py
@@ -15,6 +15,7 @@
 PERIOD_US = 100_000  # between questions: a fraction of the time after which a change counts as told
 ANSWER_MOST = 9000
 READS_MOST = 16
+USELESS_TOLD = 20  # answers that don't count, of which each is a line
 
 
 class DiscoveryClient:
@@ -37,17 +38,28 @@
         self._sock: socket.socket | None = None
         self.asked = self.useless = 0
         self.move(address)
-        self._ask()
+        self.asking = loop.every(PERIOD_US, self._send, "questions to the name server")
 
     def move(self, address: Address) -> None:
-        """Asks there from now on."""
-        self.close()
+        """Asks there from now on. Raises OSError where there is no way to that address; then it goes on
+        asking where it asked before."""
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        except OSError:  # no descriptor left: the one in use is turned to the other address
+            if self._sock is None:
+                raise
+            self._sock.connect(address)
+        else:
+            try:
+                sock.setblocking(False)
+                sock.connect(address)
+            except OSError:
+                sock.close()
+                raise
+            self.close()
+            self._sock = sock
+            self._loop.on_readable(sock.fileno(), self._readable)
         self._directory.forget_questions()
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.setblocking(False)
-        sock.connect(address)
-        self._sock = sock
-        self._loop.on_readable(sock.fileno(), self._readable)
         self._send()
 
     def close(self) -> None:
@@ -56,10 +68,6 @@
             self._sock.close()
             self._sock = None
 
-    def _ask(self) -> None:
-        self._send()
-        self._loop.call_later(PERIOD_US, self._ask)
-
     def _send(self) -> None:
         if self._sock is not None:
             self.asked += 1
@@ -70,24 +78,26 @@
         sock = self._sock
         if sock is None:
             return
+        self._loop.on_readable(sock.fileno(), self._readable)  # first: an error must not leave it deaf
         for _ in range(READS_MOST):
+            if self._sock is not sock:
+                return
             try:
                 data = sock.recv(ANSWER_MOST)
             except BlockingIOError:
-                break
+                return
             except OSError:
                 continue  # nobody there, as an earlier question learnt
             self._take(data)
-        if self._sock is sock:
-            self._loop.on_readable(sock.fileno(), self._readable)
 
     def _take(self, data: bytes) -> None:
         try:
             told = self._directory.answer(data)
-        except BadList as error:
+        except Exception as error:  # whatever an answer makes the reader do, the list held stands
             self.useless += 1
-            if self.useless <= 20:
-                self._log.info("name server", why=str(error))
+            if self.useless <= USELESS_TOLD:
+                known = isinstance(error, BadList)
+                self._log.info("name server", why=str(error) if known else repr(error))
             return
         if told is not None:
             self._changed(told)
--- a/packages/node/src/walnutpost/node/pool.py
+++ b/packages/node/src/walnutpost/node/pool.py
@@ -14,7 +14,9 @@
 from walnutpost.node.directory import Address
 from walnutpost.node.exchange import Exchange
 
+Identity = tuple[bytes, str, str]
 SWEEP_US = 1_000_000
+SWEEP_SHARE = 0.1  # of the same time, where that is less
 PROBE_TIMEOUT_US = 1_000_000
 IDLE_SHARE = 0.7  # of the time after which the worker closes an idle connection: never to write into that
 
@@ -29,13 +31,18 @@
     streams: int
     connections: int
     report_fields: tuple[str, ...]
+    cancel: bool  # whether a worker may be told that a call is given up
 
 
 class WorkerPool:
-    """`identity` gives a ticket's id and class as its client told them."""
+    """`identity` gives a ticket's id, class and repeat key as its client told them, and None once nobody
+    waits for its answer any more."""
 
     def __init__(
-        self, loop: Loop, limits: WorkerLimits, identity: Callable[[int], tuple[bytes, str]]
+        self,
+        loop: Loop,
+        limits: WorkerLimits,
+        identity: Callable[[int], Identity | None],
     ) -> None:
         self.loop = loop
         self.limits = limits
@@ -47,7 +54,8 @@
         self._attempts: dict[tuple[int, int], Exchange] = {}
         self.dialled = self.spoilt_answers = self.ordered = self.asked = 0
         self.ends: Counter[tuple[str, Outcome]] = Counter()  # how attempts ended, since it was last looked at
-        loop.call_later(SWEEP_US, self._sweep)
+        sweep = max(1, min(SWEEP_US, int(limits.idle_time_us * SWEEP_SHARE)))
+        self.sweeping = loop.every(sweep, self._sweep, "sweep of connections to workers")
 
     @property
     def connections(self) -> int:
@@ -58,9 +66,7 @@
         for name, address in list(self._addresses.items()):
             if addresses.get(name) != address:
                 for connection in list(self._connections.get(name, ())):
-                    connection.retired = True
-                    if not connection.open:
-                        connection.close()
+                    connection.retire()
         self._addresses = dict(addresses)
 
     # Effects
@@ -72,8 +78,8 @@
         before: Callable[[], None] | None = None,
         execution: str = "",
     ) -> None:
-        id, cls = self._identity(effect.ticket)
         call, attempt = key = (effect.call, effect.attempt)
+        ticket, now = effect.ticket, self.loop.now()
 
         def end(sent: Exchange, outcome: Outcome, answer: resp.Answer | None) -> None:
             self._attempts.pop(key, None)
@@ -96,10 +102,16 @@
                     )
                 )
 
-        command = resp.call(id, cls, effect.function, effect.timeout, effect.payload)
-        sent = Exchange(id, command, self.loop.now(), end)
+        known = self._identity(ticket)
+        id, cls, repeat_key = known or (b"", "", "")
+        command = resp.call(id, cls, effect.function, effect.timeout, effect.payload, repeat_key)
+        wanted = lambda: self._identity(ticket) is not None  # noqa: E731
+        sent = Exchange(id, command, now, end, now + effect.latest, wanted)
         sent.key = key
         self._attempts[key] = sent
+        if known is None:  # the client left while this was decided
+            self.loop.call_soon(lambda: sent.finish(Outcome.MOOT))
+            return
         self._within(sent, effect.timeout)
         self.place(effect.worker, sent, effect.attempt > 0)
 
@@ -117,7 +129,9 @@
             done(HoldDone(effect.worker, effect.function, outcome, took, copies))
 
         tag = self._tag()
-        sent = Exchange(tag, resp.spawn(tag, effect.function, effect.copies), self.loop.now(), end)
+        now = self.loop.now()
+        latest = now + effect.latest if effect.latest else None
+        sent = Exchange(tag, resp.spawn(tag, effect.function, effect.copies), now, end, latest)
         sent.harmless = not effect.copies
         self.ordered += effect.copies > 0
         self.asked += not effect.copies
@@ -151,7 +165,9 @@
         connection = self._pick(worker, sent.id if again else None, fresh)
         if connection is None:
             sent.connection = None
-            self.loop.call_soon(lambda: sent.finish(Outcome.CONNECT_FAILED))
+            # Where a worker is listed and none could be made, that is our want of descriptors, not its fault.
+            lacking = Outcome.MOOT if worker in self._addresses else Outcome.CONNECT_FAILED
+            self.loop.call_soon(lambda: sent.finish(lacking))
             return
         sent.connection = connection
         connection.open[sent.id] = sent
@@ -168,7 +184,8 @@
             and len(connection.open) < self.limits.streams
             and (unless is None or (unless not in connection.past and unless not in connection.open))
         ]
-        least = min(candidates, key=lambda connection: len(connection.open), default=None)
+        candidates.sort(key=lambda connection: len(connection.open))
+        least = next((connection for connection in candidates if self._sound(connection)), None)
         if least is not None and not least.open and not fresh:
             return least
         address = self._addresses.get(worker)
@@ -185,6 +202,23 @@
             return connection
         return least
 
+    def _sound(self, connection: WorkerConnection) -> bool:
+        """Whether a call may be written into it: the other end's close may have come, or be about to."""
+        if not connection.open and connection.connected and connection.idle_since_us < self._stale_us():
+            connection.close()
+        return not connection.ended
+
+    def _stale_us(self) -> int:
+        return self.loop.now() - int(self.limits.idle_time_us * IDLE_SHARE)
+
+    def spare_one(self) -> bool:
+        """Closes the connection that has been idle for longest, where there is one."""
+        idle = (c for those in self._connections.values() for c in those if not c.open and c.connected)
+        oldest = min(idle, key=lambda connection: connection.idle_since_us, default=None)
+        if oldest is not None:
+            oldest.close()
+        return oldest is not None
+
     def drop(self, connection: WorkerConnection) -> None:
         open_here = self._connections.get(connection.worker, [])
         if connection in open_here:
@@ -195,12 +229,11 @@
 
     # Ends
 
-    def spoilt(self, connection: WorkerConnection, why: resp.Spoilt) -> None:
-        """The worker is there, and has answered something to somebody: no sign that it died. Whatever is
-        open on this connection may have run, and will not be heard_us of."""
+    def spoilt(self, connection: WorkerConnection) -> None:
+        """The worker is there, and has answered something to somebody: no sign that it died. Whatever was
+        written to this connection may have run, and will not be heard of."""
         self.spoilt_answers += 1
-        for sent in connection.emptied():
-            sent.finish(Outcome.ERROR)
+        connection.break_off(Outcome.ERROR)
 
     def _within(self, sent: Exchange, time: int) -> None:
         sent.timer = self.loop.call_later(time, lambda: self._overdue(sent))
@@ -213,11 +246,11 @@
         """Takes it from its connection. One that has said nothing since it was sent may be dead, and gets
         nothing new."""
         connection, sent.connection = sent.connection, None
-        if connection is None or sent.id not in connection.open:
+        if connection is None or connection.withdraw(sent) or sent.id not in connection.open:
             return
         if connection.heard_us < sent.began_us and connection.connected:
             connection.retired = True
-        elif sent.key is not None:
+        elif sent.key is not None and self.limits.cancel:
             connection.write(resp.kill(sent.id), None)
         connection.release(sent)
 
@@ -226,9 +259,8 @@
         return b"t%d" % self._tags
 
     def _sweep(self) -> None:
-        since = self.loop.now() - int(self.limits.idle_time_us * IDLE_SHARE)
+        since = self._stale_us()
         for open_here in list(self._connections.values()):
             for connection in list(open_here):
-                if not connection.open and connection.idle_since_us < since:
+                if not connection.open and connection.connected and connection.idle_since_us < since:
                     connection.close()
-        self.loop.call_later(SWEEP_US, self._sweep)
--- a/packages/node/src/walnutpost/node/resp.py
+++ b/packages/node/src/walnutpost/node/resp.py
@@ -57,9 +57,11 @@
     return b"".join(parts)
 
 
-def call(id: bytes, queue: str, path: str, budget: int, body: bytes) -> bytes:
-    """`budget` in microseconds."""
+def call(id: bytes, queue: str, path: str, budget: int, body: bytes, repeat_key: str = "") -> bytes:
+    """`budget` in microseconds. `repeat_key` is what a worker knows a repeat of a keyed request by."""
     fields = f"queue={queue},path={path},budget={max(1, budget // 1000)}".encode()
+    if repeat_key:
+        fields += b",uniq=" + repeat_key.encode()
     return b"*4\r\n$2\r\nFN\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n" % (
         len(id),
         id,
--- a/packages/node/src/walnutpost/node/rpc.py
+++ b/packages/node/src/walnutpost/node/rpc.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Any
 
 import msgpack
@@ -19,6 +19,8 @@
 REQUEST, NOTIFY = 0, 2
 HEX = re.compile(r"[0-9a-f]{16}")
 FIGURE = re.compile(r"\d{1,12}(\.\d{1,12})?")
+TOKEN = re.compile(r"[\w.:-]{0,64}", re.ASCII)  # goes into a list of fields as it is
+COST_MS_MOST = 1e9
 MEMORY_MOST, LANES_MOST, LOAD_MS_MOST = 1e6, 1e4, 1e7
 
 
@@ -34,7 +36,8 @@
 
 
 class Call(Message, frozen=True):
-    """`budget` in microseconds; `memory_mb`, `lanes` and `load_time` (microseconds) are a copy's."""
+    """`budget` in microseconds; `memory_mb`, `lanes` and `load_time` (microseconds) are a copy's. `tenant`,
+    `cost` (microseconds of a standard core) and `repeat_key` are told on some platforms only."""
 
     number: int
     rid: str
@@ -46,6 +49,9 @@
     lanes: float
     load_time: int
     body: bytes
+    tenant: str | None = None
+    cost: int | None = None
+    repeat_key: str = ""
 
 
 class Check(Message, frozen=True):
@@ -81,8 +87,9 @@
 class Reader:
     """The messages of one connection. `classes` gives each class's longest wait in microseconds."""
 
-    def __init__(self, classes: Mapping[str, int]) -> None:
+    def __init__(self, classes: Mapping[str, int], tenants: Collection[str] = ()) -> None:
         self._classes = classes
+        self._tenants = tenants
         self._rest = b""
 
     @property
@@ -161,6 +168,15 @@
                 raise ValueError(f"{name}: found {fields.get(name)!r:.40}, wanted 16 hex digits")
         if fields.get("again", "1") != "1":
             raise ValueError(f"again: found {fields['again']!r:.40}, wanted 1")
+        tenant = fields.get("acct")
+        if not self._tenants:
+            tenant = None  # nobody's share is told here
+        elif tenant is not None and tenant not in self._tenants:
+            raise ValueError(f"acct: found {tenant!r:.40}")
+        repeat_key = fields.get("token", "")
+        if not TOKEN.fullmatch(repeat_key):
+            raise ValueError(f"token: found {repeat_key!r:.80}")
+        cost = _figure(fields, "est", 0, COST_MS_MOST, 0.0)
         figures = dict(part.partition(":")[::2] for part in fields.get("attrs", "").split(";") if part)
         # A whole second of grace: what counts here is that a figure is sane, not how a client rounds it.
         budget = _figure(fields, "budget", 1, self._classes[cls] / 1000 + 1000, None)
@@ -175,6 +191,9 @@
             _figure(figures, "lanes", 1, LANES_MOST, 1.0),
             int(_figure(figures, "load_ms", 0, LOAD_MS_MOST, 0.0) * 1000),
             body,
+            tenant,
+            int(cost * 1000) or None,
+            repeat_key,
         )
 
 
--- a/packages/node/src/walnutpost/node/run.py
+++ b/packages/node/src/walnutpost/node/run.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from walnutpost.core import Core
-from walnutpost.gateway import Catalogue, Gateway, WorkersTold
+from walnutpost.gateway import Catalogue, Gateway, ShuttingDown, WorkersTold
 from walnutpost.interface import ListKind, Outcome
 from walnutpost.loop import Listener, Loop
 from walnutpost.node.clients import Clients
@@ -22,6 +22,8 @@
 
 WORKER_SHARE, CLIENT_SHARE = 0.4, 0.5  # of the descriptors; the rest is for files and what else is open
 DRAIN_PERIOD_US = 700_000  # from SIGTERM: until then connections and requests keep coming
+KILL_AFTER_US = 3_000_000  # beyond that, or the longest deadline where it is less, SIGKILL may come
+KILL_MARGIN_US = 100_000  # for the last answers to get to their clients
 DRAIN_STEP_US = 5_000
 FIGURES_EVERY_US = 5_000_000
 
@@ -40,7 +42,9 @@
     def __init__(self, loop: Loop, config: Config, log: Any) -> None:
         self._loop = loop
         self._log = log
-        gateway = Gateway(config.settings, Catalogue({}), config.seed)
+        gateway = Gateway(config.settings, Catalogue({}, config.tenants, unnamed=True), config.seed)
+        longest = max((cls.deadline for cls in config.settings.classes), default=0)
+        self._drain_limit_us = DRAIN_PERIOD_US + min(longest, KILL_AFTER_US) - KILL_MARGIN_US
         limits = WorkerLimits(
             config.dial_timeout_us,
             config.idle_time_us,
@@ -48,18 +52,28 @@
             config.streams,
             int(config.sockets * WORKER_SHARE),
             config.report_fields,
+            config.settings.limits.cancel,
         )
         self.workers = WorkerPool(loop, limits, lambda ticket: self.clients.identity(ticket))
         self.core = Core(loop, gateway, self.workers, log)
         self.clients = Clients(
-            loop, self.core, config.settings, config.classes, int(config.sockets * CLIENT_SHARE), log
+            loop,
+            self.core,
+            config.settings,
+            config.classes,
+            config.tenants,
+            int(config.sockets * CLIENT_SHARE),
+            log,
         )
         self.directory = Directory(config.names)
         self._listed(self.directory.known(config.known))
         self.discovery = DiscoveryClient(loop, self.directory, config.dns, config.seed, self._listed, log)
-        self.listener = Listener(loop, config.listen, role="client")
+        self.listener = Listener(loop, config.listen, role="client", make_room=self._make_room)
         self._accepting = loop.spawn(self.clients.accept, self.listener, name="accept")
-        loop.call_later(FIGURES_EVERY_US, self._figures)
+        self.reporting = loop.every(FIGURES_EVERY_US, self._figures, "figures")
+
+    def _make_room(self) -> bool:
+        return self.workers.spare_one() or self.clients.make_room()
 
     def _listed(self, told: WorkersTold) -> None:
         self.workers.update(self.directory.addresses)
@@ -74,12 +88,18 @@
         self._log.info("configuration", dns=config.dns)
 
     def shut_down(self) -> None:
-        """A task's work: serves on for DRAIN_PERIOD_US, then ends what is open, and nothing new is taken."""
+        """A task's work, graceful shutdown: serves on for DRAIN_PERIOD_US, then takes nothing new. What is
+        open gets its final answer before the process may be killed; it ends once all have left."""
+        began = self._loop.now()
+        self.clients.draining = True
+        self.core.feed(ShuttingDown(self._drain_limit_us))
         self._loop.sleep(DRAIN_PERIOD_US)
         self._accepting.cancel()
+        while (stream := self.listener.accept_now()) is not None:  # the machine has taken these
+            self.clients.take(stream)
         self.listener.close()
         self.clients.end()
-        while self.clients.connections:
+        while self.clients.connections and self._loop.now() < began + self._drain_limit_us + KILL_MARGIN_US:
             self._loop.sleep(DRAIN_STEP_US)
         self.discovery.close()
 
@@ -105,7 +125,6 @@
         ends = (f"{worker}:{outcome.value}:{n}" for (worker, outcome), n in sorted_ends(workers))
         self._log.info("attempts", ended=" ".join(ends))
         workers.ends.clear()
-        self._loop.call_later(FIGURES_EVERY_US, self._figures)
 
 
 def sorted_ends(workers: WorkerPool) -> list[tuple[tuple[str, Outcome], int]]:
@@ -131,20 +150,26 @@
     loop = Loop(on_error=wrong)
 
     def serve() -> None:
-        try:
-            node = Node(loop, config, log)
-        except BadList as error:
-            raise ConfigError(str(error)) from error
+        # The handlers stand before the listener does: a signal in between would end the process with
+        # connections that the machine has accepted.
         me, token = loop.waiting()
+        nodes: list[Node] = []
 
         def reload() -> None:
             try:
-                node.reload(parse(Path(path).read_bytes()))
+                told = parse(Path(path).read_bytes())
+                for node in nodes:
+                    node.reload(told)
             except (OSError, ConfigError) as error:
                 log.info("configuration kept", path=path, why=str(error))
 
         loop.on_signal(signal.SIGHUP, reload)
         loop.on_signal(signal.SIGTERM, lambda: loop.wake(me, token))
+        try:
+            node = Node(loop, config, log)
+        except BadList as error:
+            raise ConfigError(str(error)) from error
+        nodes.append(node)
         log.info("listening", address=node.listener.address)
         loop.park()
         log.info("ending")
--- a/packages/policy/src/walnutpost/policy/loading.py
+++ b/packages/policy/src/walnutpost/policy/loading.py
@@ -103,5 +103,5 @@
             if len(self._orders) + 1 > part * (g.free_loads + g.load_share * len(self._taken)):
                 return False
             self._orders.append(now)
-        self._actions.append(api.Hold(w.info.id, fn.key, copies))
+        self._actions.append(api.Hold(w.info.id, fn.key, copies, self._grace if copies > ASK else 0))
         return True
--- a/packages/policy/src/walnutpost/policy/placing.py
+++ b/packages/policy/src/walnutpost/policy/placing.py
@@ -123,20 +123,27 @@
         """Rule 4: this front end's part of what a cold worker bears within any span, by what warm ones serve:
         so all parts add up. A part below one send is a turn in so many spans; one each would be too much."""
         g, age = self._s.guards, self._now - w.started
-        if not w.started or age >= g.cold_for or g.overload_for <= 0:
+        if not self._cold(w):
             return True
-        while w.sends and w.sends[0] < self._now - g.overload_for:
+        while w.sends and w.sends[0] < self._now - g.overload_for - self._grace:
             w.sends.popleft()
         strength = g.start_capacity + (1 - g.start_capacity) * max(0, age) / g.cold_for
-        rate = self._served.lately(self._now) / (self._ready or 1)
+        rate = self._served.weighed(self._now) / self._served.span / (self._ready or 1)
         budget = SLOW_START_CAUTION * g.overload_factor * strength * rate * g.overload_for
         turn = ((self._s.index + w.info.id) * TURN_STEP + self._now // g.overload_for * TURN_SHIFT) % 1
-        return len(w.sends) < (budget if budget >= 1 else turn < budget)
+        return len(w.sends) < int(budget) + (turn < budget % 1)
+
+    def _cold(self, w: Worker) -> bool:
+        return 0 < w.started > self._now - self._s.guards.cold_for and self._s.guards.overload_for > 0
 
     def _send(self, req: Request, w: Worker) -> None:
         if not self._may_send(req, w):
             return
-        now, wid, fn = self._now, w.info.id, req.fn
+        now, wid, fn, g = self._now, w.info.id, req.fn, self._s.guards
+        ran = (a.sent for a in req.attempts if a.outcome not in NEVER_RAN and req.cls.effect is Effect.KEYED)
+        # What leaves later, when a connection comes up slowly, would pass the guards that let it go.
+        ends = [req.expires - self._s.tick, *(sent + req.cls.window for sent in ran)]
+        ends += [now + span for span in (g.drain_grace, self._cold(w) * self._grace) if span]
         copy = fn.copies.setdefault(wid, Copy(now))
         copy.touched = now
         req.attempts.append(Attempt(wid, now, copy.sure))
@@ -145,7 +152,7 @@
         self._all_out += 1
         w.heard = now if w.out == 1 else w.heard
         w.sends.append(now)
-        self._actions.append(api.Send(req.id, wid, req.expires - now))
+        self._actions.append(api.Send(req.id, wid, req.expires - now, max(1, min(ends) - now)))
         self._later(now + self._quiet * self._latency, "watch", wid)
 
     def _answer(self, req: Request) -> None:
--- a/packages/policy/src/walnutpost/policy/router.py
+++ b/packages/policy/src/walnutpost/policy/router.py
@@ -31,6 +31,10 @@
                 if self._taken:
                     self._taken.pop()  # clients may ask and take back by the hundreds: no ground for orders
                 self._close(self._requests[request])
+            case api.ShuttingDown(within):
+                self._ends = now + within
+                for rid in self._requests:
+                    self._later(self._ends - self._s.tick, "deadline", rid)
             case api.AnswerStarted(request) if request in self._requests:
                 self._requests[request].done = True
         for what, ref in self._ripe():
@@ -64,10 +68,10 @@
         self._came.add(now)
         fn.calls.add(now)
         cls = self._s.classes[min(e.class_index, len(self._s.classes) - 1)]
-        req = Request(e.request, cls, fn, now + e.time_left, e.cost_hint)
+        req = Request(e.request, cls, fn, min(now + e.time_left, self._ends), e.cost_hint)
         self._requests[e.request] = req
         crowded = all(self._over(fn, w) for w in self._warm(fn))
-        if e.time_left <= 0 or self._sheds(req, e.tenant, crowded):
+        if req.expires <= now or self._sheds(req, e.tenant, crowded):
             return self._answer(req)
         self._later(req.expires - self._s.tick, "deadline", req.id)  # out before the client leaves
         self._place(req)
@@ -111,7 +115,7 @@
 
     def _hold_ended(self, e: api.HoldEnded) -> None:
         w, fn = self._workers.get(e.worker), self._functions.get(e.function)
-        if w is not None and e.outcome is not Outcome.TIMEOUT:
+        if w is not None and e.outcome not in (Outcome.TIMEOUT, Outcome.MOOT):
             self._hear(w) if e.outcome in HEARD_FROM else self._broken(w, e.outcome)
         if w is None or fn is None:
             return
--- a/packages/policy/src/walnutpost/policy/state.py
+++ b/packages/policy/src/walnutpost/policy/state.py
@@ -109,7 +109,7 @@
         self._armed: int | None = None
         self._keep = settings.keep_alive or settings.order_timeout or 1
         self._aim = max(1, min((c.aim for c in settings.classes), default=1))
-        self._began = 0
+        self._began, self._ends = 0, 1 << 62  # of this front end
         self._others = 1 - 1 / max(1, settings.front_ends)  # part of all calls that others send
 
     def _later(self, when: float, what: str, ref: int) -> None:
--- a/packages/policy/tests/test_defences.py
+++ b/packages/policy/tests/test_defences.py
@@ -4,8 +4,11 @@
 
 import math
 from dataclasses import replace
+from typing import Any
 
-from rig import KEEP, SECOND, SETTINGS, Rig, of, orders, worker
+import pytest
+
+from rig import KEEP, KEYED, SECOND, SETTINGS, Rig, of, orders, worker
 from test_mechanism import first_in_order
 from walnutpost import interface as api
 
@@ -423,3 +426,85 @@
             rig.ended(rid, 0, sent[0].worker, latency=50_000)
     assert rig.router._all_out >= len(stuck) // 2
     assert refused == 0
+
+
+def test_parts_of_the_cold_budget_above_one_send_add_up_to_it_as_well() -> None:
+    """Each of twenty rounded its part up to the next whole send: 1.1 became 2."""
+    sends, front_ends = 0, 20
+    for index in range(front_ends):
+        rig = Rig(2, replace(SETTINGS, front_ends=front_ends, index=index, keep_alive=100 * SECOND))
+        rig.warm(1)
+        for _ in range(100):  # 4.6 calls a second at each of two workers
+            rig.now += SECOND * 10 // 46
+            rig.ended(rid := rig.ask(), 0, rig.router._requests[rid].attempts[0].worker)
+        rig.listed(api.ListKind.DELTA, worker(2, started=rig.now))
+        cold = rig.router._workers[2]
+        while rig.router._slow_start_room(cold):
+            cold.sends.append(rig.now)
+            sends += 1
+    budget = 0.2 * 4 * front_ends * 2.3  # start share x multiple x rate x the window of a second
+    assert 0.4 * budget < sends <= 0.7 * budget
+
+
+def test_a_front_end_that_has_just_started_takes_no_large_part_of_a_cold_budget() -> None:
+    """Its first answer, a millisecond after it began to count, was a rate of a thousand a second."""
+    rig = Rig(2)
+    rig.warm(1)
+    rig.listed(api.ListKind.DELTA, worker(2, started=rig.now))
+    rig.ended(rig.ask(), 0, 1, latency=1000)
+    rig.now += 1000
+    rig.feed(api.TimerDue(1))
+    cold, sends = rig.router._workers[2], 0
+    while rig.router._slow_start_room(cold):
+        cold.sends.append(rig.now)
+        sends += 1
+    assert sends <= 1
+
+
+def holds_for(rig: Rig) -> int:
+    latest: int = of(api.Send, rig.actions)[0].latest
+    return latest
+
+
+def test_a_send_tells_how_long_its_decision_holds() -> None:
+    rig = Rig(2)
+    rig.warm(1, 2)
+    rig.ask(left=SECOND // 2)
+    assert holds_for(rig) == SECOND // 2 - SETTINGS.tick, "no first byte once the answer is out"
+    rig.ask()
+    assert holds_for(rig) == SETTINGS.guards.drain_grace
+    keyed = rig.ask(cls=2)
+    first = of(api.Send, rig.actions)[0].worker
+    rig.now += SECOND // 4
+    rig.ended(keyed, 0, first, Outcome.RESET)
+    assert holds_for(rig) == KEYED.window - SECOND // 4, "counted from the attempt that may have run"
+    for _ in range(40):
+        rig.now += SECOND // 10
+        rig.ended(rid := rig.ask(), 0, rig.router._requests[rid].attempts[0].worker)
+    rig.listed(api.ListKind.DELTA, worker(1, started=rig.now - SECOND), worker(2, started=rig.now - SECOND))
+    rig.warm(1, 2)
+    rig.ask()
+    assert holds_for(rig) == rig.router._grace, "so long it stays in the cold worker's count beyond the span"
+
+
+def test_what_was_never_written_says_nothing_of_its_worker() -> None:
+    rig = Rig(1)
+    rig.ask()
+    order = of(api.Hold, rig.actions)[0]
+    rig.feed(api.HoldEnded(order.worker, 7, Outcome.MOOT, 100_000, 0))
+    assert rig.router._workers[1].silent_since is None and not of(api.Log, rig.all)
+
+
+@pytest.mark.parametrize(("cls", "final"), [(0, api.Refuse), (1, api.Fail)])
+def test_all_that_is_open_or_comes_is_answered_within_the_time_of_a_shutdown(cls: int, final: Any) -> None:
+    rig = Rig(1)
+    rig.warm(1)
+    early = rig.ask(cls=cls, left=60 * SECOND)
+    rig.feed(api.ShuttingDown(SECOND))
+    late = rig.ask(cls=cls, left=60 * SECOND)
+    rig.now += SECOND - SETTINGS.tick
+    rig.feed(api.TimerDue(1))
+    assert [a.request for a in of(final, rig.actions)] == [early, late]
+    rig.now += SECOND
+    assert not of(api.Send, rig.feed(api.TimerDue(1))) and rig.ask()
+    assert len(of(api.Refuse, rig.actions)) == 1, "what comes after it is refused at once"
