--- a/packages/policy/tests/test_defences.py
+++ b/packages/policy/tests/test_defences.py
@@ -488,11 +488,11 @@
 
 
 def test_what_was_never_written_says_nothing_of_its_worker() -> None:
-    rig = Rig(1)
+    rig = Rig(4)
     rig.ask()
     order = of(api.Hold, rig.actions)[0]
     rig.feed(api.HoldEnded(order.worker, 7, Outcome.MOOT, 100_000, 0))
-    assert rig.router._workers[1].silent_since is None and not of(api.Log, rig.all)
+    assert rig.router._workers[order.worker].silent_since is None and not of(api.Log, rig.all)
 
 
 @pytest.mark.parametrize(("cls", "final"), [(0, api.Refuse), (1, api.Fail)])
