--- /dev/null
+++ b/packages/relay/src/walnutpost/relay/__init__.py
@@ -0,0 +1,1 @@
+"""The process between keepers and members."""
--- a/tests/test_workspace.py
+++ b/tests/test_workspace.py
@@ -18,7 +18,9 @@
     "node",
     "daemon",
     "agent",
+    "relay",
     "keeper",
+    "watch",
     "replica",
     "fronts",
     "config",
@@ -34,12 +36,13 @@
     "gateway",
     "journal",
     "fleet",
+    "table",
     "agreement",
     "policy",
     "interface",
 ]
 # trials.capture is a tap that the shell hands down; standins may use the worker protocol's words.
-NO_IO = ["agreement", "fleet", "gateway", "journal", "metering", "schedules", "trust", "policy", "interface"]
+NO_IO = ["agreement", "fleet", "gateway", "journal", "metering", "schedules", "table", "trust", "policy", "interface"]
 IO_MODULES = {
     "socket",
     "os",
