benchmarks/scale: slopes of today's code by axis, with their spread, refused below four sizes

Cause: what breaks first at the operators' size was guessed from one probe. Change: each axis (workers, functions, front ends, members, commands, reports and whole files over sockets) is measured at four sizes or more in processes of their own, slopes fitted by scipy with standard error, Theil-Sen interval and exponent.

--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,121 @@
+"""The measuring tool itself: what it refuses, and what made fleets and messages hold. No time is tested."""
+
+from __future__ import annotations
+
+import pytest
+from msgspec import to_builtins
+
+from benchmarks.scale import made
+from benchmarks.scale.__main__ import ALL, run, table
+from benchmarks.scale.axes import AXES
+from benchmarks.scale.machine import about
+from benchmarks.scale.slopes import TooFewSizes, slope
+from walnutpost.config import Config, parse
+from walnutpost.fleet import Clear, Fleet, encode, sight_of
+from walnutpost.keeper import wire
+from walnutpost.keeper.wire import Told
+
+
+def test_a_line_has_its_slope_and_an_exponent_of_one() -> None:
+    found = slope("x", {n: [3.0 * n] * 3 for n in (10, 20, 40, 80)})
+    assert found.each == pytest.approx(3.0)
+    assert found.low <= 3.0 + 1e-9 and found.high >= 3.0 - 1e-9
+    assert found.exponent == pytest.approx(1.0) and found.last == pytest.approx(1.0)
+
+
+def test_a_square_shows_its_bend() -> None:
+    found = slope("x", {n: [float(n * n)] for n in (10, 20, 40, 80)})
+    assert found.exponent == pytest.approx(2.0)
+    assert found.stderr > 1
+
+
+def test_a_constant_has_no_slope_and_values_of_zero_have_no_exponent() -> None:
+    assert slope("x", {n: [7.0] for n in (1, 2, 3, 4)}).each == 0
+    assert slope("x", {n: [float(n - 1)] for n in (1, 2, 3, 4)}).exponent is None
+
+
+@pytest.mark.parametrize("sizes", [[], [5], [1, 2, 3]])
+def test_too_few_sizes_get_no_slope(sizes: list[int]) -> None:
+    with pytest.raises(TooFewSizes, match=rf"found {len(sizes)} sizes .*wanted 4"):
+        slope("bytes", {size: [1.0, 2.0] for size in sizes})
+
+
+def test_the_same_size_four_times_is_one_size_and_nothing_is_measured() -> None:
+    with pytest.raises(TooFewSizes, match=r"workers: found 1 sizes \[5\]; wanted 4"):
+        run("workers", [5, 5, 5, 5], 1)
+
+
+def test_a_size_without_values_does_not_count() -> None:
+    with pytest.raises(TooFewSizes):
+        slope("x", {1: [1.0], 2: [1.0], 3: [1.0], 4: []})
+
+
+def test_every_axis_has_four_sizes_small_and_large() -> None:
+    for line in ALL.values():
+        assert len(set(line.sizes)) >= 4 and len(set(line.small)) >= 4
+
+
+@pytest.mark.parametrize("axis", sorted(AXES))
+def test_the_smallest_size_of_an_axis_gives_all_readings(axis: str) -> None:
+    found = AXES[axis].measure(AXES[axis].small[0])
+    assert found and all(reading.values and reading.unit for reading in found.values())
+
+
+def test_bytes_are_the_same_at_every_run() -> None:
+    for axis in ("functions", "fronts", "members"):
+        one, two = (AXES[axis].measure(AXES[axis].small[0]) for _ in range(2))
+        assert {n: r.values for n, r in one.items() if r.unit == "bytes"} == {
+            n: r.values for n, r in two.items() if r.unit == "bytes"
+        }
+
+
+def test_a_made_fleet_has_its_members_in_ten_zones_and_its_list_names_each_worker() -> None:
+    agreed = made.fleet(20, 30)
+    state = agreed.fleet.state
+    assert len(state.members) == 50 and len({m.zone for m in state.members.values()}) == 10
+    assert sum(m.follows for m in state.members.values()) == 20
+    sight = sight_of(state, 0, made.ages(agreed))
+    assert len(sight.workers) == 30 and sight.index == state.listed == agreed.index
+    assert wire.decode(wire.encode(Told(sight=sight)), Told).sight == sight
+
+
+def test_the_list_grows_by_as_many_bytes_for_each_worker() -> None:
+    def sent(workers: int) -> int:
+        agreed = made.fleet(0, workers)
+        return len(wire.encode(Told(sight=sight_of(agreed.fleet.state, 0, made.ages(agreed)))))
+
+    assert 55 < (sent(400) - sent(200)) / 200 < 75
+
+
+def test_a_worker_is_cleared_by_every_front_end_and_the_state_keeps_who_said_so() -> None:
+    agreed = made.fleet(10, 20)
+    permit = made.taken_out(agreed, made.worker_name(3))
+    assert not agreed.do(Clear(permit, made.acted(9, agreed.index))).done
+    clear = Clear(permit, made.acted(10, agreed.index))
+    assert agreed.do(clear).done
+    assert len(agreed.fleet.state.permits[permit].acted) == 10
+    more = len(encode(Clear(permit, made.acted(20, agreed.index)))) - len(encode(clear))
+    assert 25 <= more / 10 <= 45
+    again = Fleet.restore(agreed.fleet.snapshot())
+    assert again.snapshot() == agreed.fleet.snapshot()
+
+
+def test_a_made_configuration_is_one_that_a_front_end_takes() -> None:
+    config = parse(made.config_text(40, 3), "made", Config)
+    assert len(config.site.functions) == 40 and len(config.front.workers) == 3
+    assert len(config.site.tenants) == 400 and config.front.front_ends == 900
+
+
+def test_a_run_says_where_it_ran() -> None:
+    told = about()
+    assert {"cores", "memory_gb", "processor", "python", "commit", "dirty"} <= told.keys()
+    assert told["cores"] and told["commit"]
+
+
+def test_a_table_shows_each_quantity_with_its_spread() -> None:
+    by_size = {n: [2.0 * n, 2.0 * n + 4, 2.0 * n - 4] for n in (10, 20, 40, 80)}
+    measured = {str(n): values for n, values in by_size.items()}
+    found = {"thing": {"unit": "ms", "measured": measured, "slope": to_builtins(slope("thing", by_size))}}
+    text = table("axis", found)
+    assert "| thing | ms | 20 | 40 | 80 | 160 | 156 to 164 | 2 ± " in text
+    assert "1.00 ± 0.00" in text
