--- a/packages/table/src/walnutpost/table/messages.py
+++ b/packages/table/src/walnutpost/table/messages.py
@@ -19,17 +19,19 @@
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
-    """A frozen value, written with its fields in order; a later version may have more at the end."""
+    """A frozen value, written with its fields in order; a later version may have more at the end. Those
+    that are held by the ten thousand are hidden from the collector: they refer to nothing that could refer
+    back."""
 
 
-class Op(Record, frozen=True):
+class Op(Record, frozen=True, gc=False):
     """`key` is `kind/name`. `value` None deletes."""
 
     key: str
     value: bytes | None
 
 
-class ChangeSet(Record, frozen=True):
+class ChangeSet(Record, frozen=True, gc=False):
     """Some keys at once, in force whole or not at all. `digest`: of the whole table after it."""
 
     revision: int
@@ -37,7 +39,7 @@
     digest: int
 
 
-class Entry(Record, frozen=True):
+class Entry(Record, frozen=True, gc=False):
     """What stands under a key since `revision`."""
 
     key: str
@@ -51,10 +53,12 @@
     `session` rises each time the member turns to another server, so that two of them that know the
     member tell which word is newer. `revision`: all change sets up to here are held, and `digest` is
     that of the table then. `in_force`: the revision acted on; `stuck`: why what came after it is not.
-    `after`: within a whole state, the last key held of it, None outside of one; `base` is then the
-    lowest revision of its pages so far, 0 before the first. `hold`: microseconds that the answer may be
-    held where nothing is newer. `buckets`: the digests of these ranges are wanted, `want` the entries
-    of these. `leaving`: the process ends."""
+    `after`: within a whole state, the last key held of it ("" at its start), None outside of one; `base`
+    is then the lowest revision of its pages so far, 0 before the first. After its last page `after` is
+    None, `revision` that of the last change set which was laid over the pages, and `base` still stands:
+    there is no digest to compare yet. `hold`: microseconds that the answer may be held where nothing is
+    newer. `buckets`: the digests of all ranges are wanted, `want`: the entries of these. `leaving`: the
+    process ends."""
 
     member: str
     incarnation: str
@@ -74,9 +78,10 @@
 
 class Page(Record, frozen=True):
     """An answer to a watch; the same bytes for all who are owed the same. `revision` and `digest`: of
-    the table that answers. `changes`: the change sets that follow the question's revision, in order, as
-    many as fit. `whole`: a page of the whole state instead, `entries` by key; `done`: the last one.
-    `buckets`: digests by range. `repair`: `entries` are all of the ranges asked for, at `revision`."""
+    the table that answers. `changes`: the change sets that follow revision `since`, the question's, in
+    order, as many as fit. `whole`: a page of the whole state instead, `entries` by key from the first one
+    after `after`, the question's; `done`: the last one. `buckets`: digests by range. `repair`: `entries`
+    are all of `ranges`, those of the ranges asked for that fit, at `revision`."""
 
     revision: int
     digest: int
@@ -88,6 +93,9 @@
     buckets: tuple[int, ...] = ()
     repair: bool = False
     format: int = FORMAT
+    since: int = 0
+    after: str | None = None
+    ranges: tuple[int, ...] = ()
 
 
 class Standing(Record, frozen=True):
@@ -104,7 +112,9 @@
 class Sums(Record, frozen=True):
     """What a relay tells of its members. `relay` with `incarnation` numbers its reports; `joined` and
     `left` are what has changed since report `since`, all of them where that is 0. `lowest`: no member
-    that is not among `behind` acts on an older revision. `revision`: what the relay itself holds."""
+    that is not among `behind` acts on an older revision. `revision`: what the relay itself holds. `count`
+    and `lowest` are of those whom the leader knows of by this report and those before; `ended`: member and
+    incarnation of processes that have said that they end."""
 
     relay: str
     incarnation: str
@@ -118,6 +128,7 @@
     behind: tuple[Standing, ...] = ()
     address: str = ""
     format: int = FORMAT
+    ended: tuple[tuple[str, str], ...] = ()
 
 
 class Heard(Record, frozen=True):
@@ -149,7 +160,7 @@
 
 class Status(Record, frozen=True):
     """What the leader knows of who acts on what. `lowest`: of all agreed members; `lacking`: those below
-    `revision`, by name, the first of them where they are many; `relays`: name, revision held, members,
+    `revision`, by name, the first of them where they are many, `lacks` how many in all; `relays`: name, revision held, members,
     microseconds since its word."""
 
     revision: int
@@ -162,6 +173,7 @@
     timed: tuple[Timed, ...]
     relays: tuple[tuple[str, int, int, int], ...]
     format: int = FORMAT
+    lacks: int = 0
 
 
 T = TypeVar("T", bound=Record)
