--- a/packages/table/src/walnutpost/table/messages.py
+++ b/packages/table/src/walnutpost/table/messages.py
@@ -160,8 +160,8 @@
 
 class Status(Record, frozen=True):
     """What the leader knows of who acts on what. `lowest`: of all agreed members; `lacking`: those below
-    `revision`, by name, the first of them where they are many, `lacks` how many in all; `relays`: name, revision held, members,
-    microseconds since its word."""
+    `revision`, by name, the first of them where they are many, `lacks` how many in all; `relays`: name,
+    revision held, members, microseconds since its word."""
 
     revision: int
     digest: int
