Table: what a watch is answered, as a function of the table and the question

Cause: pushes into queues cost memory for each follower; a pull by revision costs one number. Change: watch.py. owed_key decides (change sets, a page of the whole state, ranges, digests, or wait), page_of makes the page, bounded at 64 KiB but for a single change set or range; equal keys mean equal pages, so that a page is encoded once for all.

--- a/packages/table/src/walnutpost/table/__init__.py
+++ b/packages/table/src/walnutpost/table/__init__.py
@@ -40,6 +40,7 @@
     OutOfOrder,
     Table,
 )
+from walnutpost.table.watch import PAGE_BYTES, Owed, owed, owed_key, page_of
 
 __all__ = [
     "AGE_HEADER",
@@ -49,6 +50,7 @@
     "LOG_BYTES",
     "LOG_MOST",
     "OPS_MOST",
+    "PAGE_BYTES",
     "STATUS",
     "SUMS",
     "VALUE_MOST",
@@ -63,6 +65,7 @@
     "MemberStatus",
     "Op",
     "OutOfOrder",
+    "Owed",
     "Page",
     "Question",
     "Record",
@@ -76,4 +79,7 @@
     "decode",
     "encode",
     "entry_digest",
+    "owed",
+    "owed_key",
+    "page_of",
 ]
