Raft: how old what a replica holds may be, without clocks in common

A relay that asks any keeper has to know whether what it is told is still the newest: a keeper that is cut off answers as well as one in touch. Raft.vouched(applied) tells the newest time, by the replica's own clock, of which it is known that a leader in touch with a quorum had agreed on nothing after that entry. A leader counts from the beginning of the last round that a quorum has answered, and only once it knows all that was agreed; a follower from the stamp of its own that the leader's message gives back, less the leader's age, so that messages which lay in a socket while it was paused make nothing new. Messages of the version before vouch for nothing.

--- a/packages/agreement/src/walnutpost/agreement/messages.py
+++ b/packages/agreement/src/walnutpost/agreement/messages.py
@@ -74,7 +74,9 @@
 
 
 class Append(Record, frozen=True, tag=True):
-    """`round` is given back in the answer: which question the answer belongs to."""
+    """`round` is given back in the answer: which question the answer belongs to. `age`: microseconds since
+    the leader was last in touch with a quorum that it knows of, negative where it vouches for nothing;
+    `echo`: the last `stamp` that it had from this replica when it wrote this, 0 for none."""
 
     term: int
     sender: str
@@ -83,16 +85,20 @@
     entries: tuple[Entry, ...]
     commit: int
     round: int
+    age: int = -1
+    echo: int = 0
 
 
 class Appended(Record, frozen=True, tag=True):
-    """`match`: the last index known to be the leader's, durably; after a refusal, where to look next."""
+    """`match`: the last index known to be the leader's, durably; after a refusal, where to look next.
+    `stamp`: when this was written, by the sender's clock, in numbers that only its process can read."""
 
     term: int
     sender: str
     ok: bool
     match: int
     round: int
+    stamp: int = 0
 
 
 class Install(Record, frozen=True, tag=True):
--- a/packages/agreement/src/walnutpost/agreement/raft.py
+++ b/packages/agreement/src/walnutpost/agreement/raft.py
@@ -3,6 +3,7 @@
 What is held where:
 - `_rests`: nothing leaves before the writes it rests on are durable, in the order in which it was decided.
 - `_may_vote`, `_may_commit`, `_may_change`: the three places where safety is decided.
+- `_claims`: what is known of the age of what is applied; all of them are true for ever, whoever leads.
 - A replica's name includes its disk: one that lost it comes back under another name, which nobody counts
   until the others have agreed to take it in.
 """
@@ -50,6 +51,7 @@
 )
 
 ENTRIES_MOST = 256  # in one message
+CLAIMS_MOST = 64
 NOTHING = Snapshot(0, 0, Members(), b"")
 
 
@@ -81,6 +83,7 @@
     match_round: int = 0  # the last question that it answered with a match
     round: int = 0
     heard: int = 0
+    stamp: int = 0
 
 
 @dataclass(slots=True)
@@ -102,6 +105,8 @@
     began: int
     peers: dict[str, _Peer] = field(default_factory=dict)
     round: int = 0
+    begun: deque[tuple[int, int]] = field(default_factory=deque)  # rounds that no quorum has answered yet
+    touched: int | None = None  # when the last round began that a quorum has answered
     reads: list[_Reading] = field(default_factory=list)
     handover: _Handover | None = None
     next_beat: int = 0
@@ -130,12 +135,17 @@
         self._lead: _Leading | None = None
         self._heard_leader: int | None = None
         self._stand_at: int | None = None
+        # An entry and a time when nothing after it was agreed; both rise from one to the next.
+        self._claims: list[tuple[int, int]] = []
+        self._began: int | None = None
+        self._offset = Random(f"{seed} {me} stamps").getrandbits(48)
 
     # In and out
 
     def handle(self, now: int, event: Input) -> list[Effect]:
         self._now, self._effects = now, []
-        if self._stand_at is None:
+        if self._stand_at is None or self._began is None:
+            self._began = now
             self._wait_anew()
         match event:
             case Written(number):
@@ -157,6 +167,7 @@
                 pass
         self._look_at_time()
         self._apply()
+        self._touch()
         effects, self._effects = self._effects, []
         return effects
 
@@ -170,6 +181,16 @@
     def members(self) -> Members:
         return self.log.members
 
+    def vouched(self, applied: int) -> int | None:
+        """The newest time, by this replica's clock, of which it is known that a leader in touch with a quorum
+        had agreed on nothing after entry `applied`: a state that holds it was the newest then. None where
+        nothing is known of it since this process began. `applied` never falls from call to call."""
+        known = sum(index <= applied for index, _ in self._claims)
+        if not known:
+            return None
+        del self._claims[: known - 1]
+        return self._claims[0][1]
+
     def _rests(self, effect: Effect | VoteGiven) -> None:
         """It leaves once all that has been given out to be written is durable; the own vote counts then."""
         if self._written < self._number:
@@ -231,10 +252,58 @@
         lead = self._lead
         assert lead is not None
         lead.next_beat = self._now + self._timing.heartbeat
-        lead.round += 1
+        self._next_round(lead)
         for name in lead.peers:
             self._feed(name)
 
+    def _next_round(self, lead: _Leading) -> None:
+        lead.round += 1
+        lead.begun.append((lead.round, self._now))
+
+    # How old what is applied may be
+
+    def _claim(self, index: int, at: int) -> None:
+        """Nothing after entry `index` was agreed at `at`. Messages come in any order: what says less than
+        another claim is left out."""
+        if any(i <= index and a >= at for i, a in reversed(self._claims)):
+            return
+        self._claims = sorted([(i, a) for i, a in self._claims if i < index or a > at] + [(index, at)])
+        if len(self._claims) > CLAIMS_MOST:
+            del self._claims[1]  # the first may be all that holds of a state that lags; the last is the news
+
+    def _touch(self) -> None:
+        """A leader's claim counts from the beginning of the last round that a quorum has answered, not from
+        the answers, which may have lain in a socket while this process was paused."""
+        lead = self._lead
+        if lead is None:
+            return
+        rounds = {name: peer.round for name, peer in lead.peers.items()} | {self.me: lead.round}
+        voters = self.log.members.voters
+        answered = sorted((rounds.get(name, -1) for name in voters), reverse=True)[len(voters) // 2]
+        while lead.begun and lead.begun[0][0] <= answered:
+            lead.touched = lead.begun.popleft()[1]
+        if lead.touched is not None and self._knows_all():
+            self._claim(self.commit, lead.touched)
+
+    def _knows_all(self) -> bool:
+        """Whether this leader knows all that was agreed: a former one may have agreed on more than it knows
+        of until an entry of its own is."""
+        return self.log.term(self.commit) == self.term
+
+    def _age(self) -> int:
+        lead = self._lead
+        if lead is None or lead.touched is None or not self._knows_all():
+            return -1
+        return self._now - lead.touched
+
+    def _vouched_by(self, m: Append) -> None:
+        """The leader wrote this after this replica's stamp, so it was in touch with a quorum `age` before the
+        stamp at the earliest, however long the message has been on its way. A stamp of a former process
+        with this name tells nothing here."""
+        sent = m.echo - self._offset
+        if m.age >= 0 and (self._began or 0) <= sent <= self._now:
+            self._claim(m.commit, sent - m.age)
+
     # Roles
 
     def _quorum(self, names: set[str]) -> bool:
@@ -345,7 +414,20 @@
             return
         entries = log.after(peer.next - 1, ENTRIES_MOST)
         prev = peer.next - 1
-        self._send(name, Append(self.term, self.me, prev, prev_term, entries, self.commit, lead.round))
+        self._send(
+            name,
+            Append(
+                self.term,
+                self.me,
+                prev,
+                prev_term,
+                entries,
+                self.commit,
+                lead.round,
+                self._age(),
+                peer.stamp,
+            ),
+        )
         peer.next += len(entries)
 
     def _propose(self, id: str, data: bytes) -> None:
@@ -368,13 +450,14 @@
     def _append(self, m: Append) -> None:
         if not self._heard_from_leader(m):
             return
+        self._vouched_by(m)
         log, entries, prev = self.log, m.entries, m.prev_index
         if prev < log.snapshot.index:  # the snapshot covers the first of them
             entries = tuple(e for e in entries if e.index > log.snapshot.index)
             prev = log.snapshot.index
         elif log.term(prev) != m.prev_term:
             look = min(log.last, prev - 1) if log.term(prev) is None else log.back(prev)
-            self._send(m.sender, Appended(self.term, self.me, False, look, m.round))
+            self._answer(m, False, look)
             return
         match = max(prev, m.prev_index + len(m.entries))
         new = next((n for n, e in enumerate(entries) if log.term(e.index) != e.term), len(entries))
@@ -387,7 +470,7 @@
             log.add(entries[new:])
             self._write(keep, entries[new:])
         self.commit = max(self.commit, min(m.commit, match))
-        self._send(m.sender, Appended(self.term, self.me, True, match, m.round))
+        self._answer(m, True, match)
 
     def _install(self, m: Install) -> None:
         if not self._heard_from_leader(m):
@@ -396,7 +479,11 @@
             self.log.compact(m.snapshot)
             self.commit = m.snapshot.index
             self._write(self.log.last, (), m.snapshot)
-        self._send(m.sender, Appended(self.term, self.me, True, m.snapshot.index, m.round))
+        self._answer(m, True, m.snapshot.index)
+
+    def _answer(self, m: Append | Install, ok: bool, match: int) -> None:
+        stamp = self._now + self._offset
+        self._send(m.sender, Appended(self.term, self.me, ok, match, m.round, stamp))
 
     def _appended(self, m: Appended) -> None:
         if m.term > self.term:
@@ -405,7 +492,7 @@
         if lead is None or m.term < self.term or m.sender not in lead.peers:
             return None
         peer = lead.peers[m.sender]
-        peer.heard, peer.round = self._now, max(peer.round, m.round)
+        peer.heard, peer.round, peer.stamp = self._now, max(peer.round, m.round), m.stamp
         if m.ok:
             peer.match, peer.match_round = max(peer.match, m.match), max(peer.match_round, m.round)
             peer.next = max(peer.next, peer.match + 1)
@@ -478,7 +565,7 @@
         elif self.log.term(self.commit) != self.term:
             self._effects.append(Rejected(id, NEW_IN_OFFICE, self.me))
         else:
-            lead.round += 1
+            self._next_round(lead)
             lead.reads.append(_Reading(id, self.commit, lead.round))
             self._beat()
             self._confirm_reads()
--- a/packages/agreement/tests/raft_rig.py
+++ b/packages/agreement/tests/raft_rig.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections.abc import Sequence
 from random import Random
 
@@ -73,6 +74,7 @@
         self.replicas |= {name: Replica(name, Kept(), seed, kind) for name in spare}
         self.wire: list[tuple[str, Message]] = []
         self.agreed: dict[int, Entry] = {}
+        self.agreed_at: list[int] = []  # by entry, from the first: when somebody first applied it
         self.leaders: dict[int, str] = {}
         self.reads: dict[str, int] = {}  # what was agreed when it was asked
         self.rejected: list[Rejected] = []
@@ -84,6 +86,15 @@
         if replica.raft is not None:
             for effect in replica.raft.handle(self.now, event):
                 self._take(replica, effect)
+            self._look_at_age(replica)
+
+    def _look_at_age(self, replica: Replica) -> None:
+        """What it holds was the newest at the time that it vouches for."""
+        assert replica.raft is not None
+        at = replica.raft.vouched(replica.applied)
+        if at is not None:
+            assert at <= self.now, "vouched for what is to come"
+            assert bisect_left(self.agreed_at, at) <= replica.applied, "older than it says"
 
     def _take(self, replica: Replica, effect: Effect) -> None:
         match effect:
@@ -95,6 +106,8 @@
                 for entry in entries:
                     assert entry.index == replica.applied + 1, "applied out of order"
                     assert self.agreed.setdefault(entry.index, entry) == entry, "two histories"
+                    if entry.index > len(self.agreed_at):
+                        self.agreed_at.append(self.now)
                     replica.applied = entry.index
                     replica.state += (entry.id,)
             case Restore(snapshot):
--- a/packages/agreement/tests/test_agreement.py
+++ b/packages/agreement/tests/test_agreement.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import copy
+from collections import deque
 from collections.abc import Callable, Iterator
 from random import Random
 
+import msgspec
 import pytest
 
 from raft_rig import TIMING, Cluster
@@ -23,6 +25,7 @@
     VoteAsked,
     VoteGiven,
 )
+from walnutpost.agreement.messages import Append, Appended
 
 THREE = ("a", "b", "c")
 
@@ -232,6 +235,227 @@
     assert (cluster.leader != "a") is disturbed
 
 
+# How old what is applied may be
+
+
+class VouchesFromTheAnswer(Raft):
+    def _touch(self) -> None:
+        if self._lead is not None and self._lead.begun:
+            self._lead.begun = deque((number, self._now) for number, _ in self._lead.begun)
+        super()._touch()
+
+
+class TakesAMessageForNew(Raft):
+    def _vouched_by(self, m: Append) -> None:
+        if m.age >= 0:
+            self._claim(m.commit, self._now)
+
+
+class VouchesBeforeItKnowsAll(Raft):
+    def _knows_all(self) -> bool:
+        return True
+
+
+class LeavesOutTheLeadersAge(Raft):
+    def _age(self) -> int:
+        return min(0, super()._age())
+
+
+class VouchesForWhatItLacks(Raft):
+    def vouched(self, applied: int) -> int | None:
+        return super().vouched(1 << 60)
+
+
+@pytest.mark.parametrize("wrong", [TakesAMessageForNew, VouchesBeforeItKnowsAll, VouchesForWhatItLacks])
+def test_a_state_said_to_be_newer_than_it_is_is_found(wrong: type[Raft]) -> None:
+    found = False
+    for seed in range(40):
+        random, cluster = Random(seed), Cluster(THREE, seed, kind=wrong, spare=("d", "e"))
+        try:
+            for _ in range(1500):
+                cluster.step(random)
+        except AssertionError as error:
+            found = str(error).startswith("older than it says")
+            break
+    assert found
+
+
+@pytest.mark.parametrize(("kind", "found"), [(Raft, False), (VouchesFromTheAnswer, True)])
+def test_an_answer_that_comes_after_another_was_elected_vouches_from_its_question(
+    kind: type[Raft], found: bool
+) -> None:
+    cluster = Cluster(THREE, kind=kind)
+    cluster.elect("a")
+    _beats(cluster, 3)
+    cluster.now += TIMING.heartbeat
+    cluster.feed("a", Due())
+    cluster.settle("b", "c")  # drops what they answer; but b's answer is still on its way
+    answer = _answer_of_b(cluster)
+    cluster.elect("b", "b", "c")
+    cluster.propose("b")
+    cluster.settle("b", "c")
+    cluster.now += 1
+    try:
+        cluster.feed("a", Received("a", answer))
+    except AssertionError as error:
+        assert found and str(error) == "older than it says"
+    else:
+        assert not found
+
+
+def _answer_of_b(cluster: Cluster) -> Appended:
+    a, b = (cluster.replicas[name].raft for name in ("a", "b"))
+    assert a is not None and b is not None and a._lead is not None
+    stamp = cluster.now + b._offset
+    return Appended(a.term, "b", True, b.log.last, a._lead.round, stamp)
+
+
+@pytest.mark.parametrize(("kind", "found"), [(Raft, False), (LeavesOutTheLeadersAge, True)])
+def test_who_hears_a_leader_that_has_lost_its_quorum_and_does_not_know_counts_its_age(
+    kind: type[Raft], found: bool
+) -> None:
+    """Of five, c and d answer a late, so that it still leads for a while when c has been elected."""
+    cluster = Cluster(("a", "b", "c", "d", "e"), kind=kind)
+    cluster.elect("a")
+    _beats(cluster, 3)
+    cluster.now += TIMING.heartbeat
+    cluster.feed("a", Due())
+    began = cluster.now
+    while cluster.wire and any(to != "a" for to, _ in cluster.wire):
+        cluster.deliver(next(n for n, (to, _) in enumerate(cluster.wire) if to != "a"))
+    late, cluster.wire = cluster.wire, []
+    cluster.now = began + TIMING.election - TIMING.heartbeat - 1
+    for _, message in late:
+        cluster.feed("a", Received("a", message))
+    others = ("c", "d", "e")
+    first = min(others, key=lambda n: cluster.replicas[n].raft.due)  # type: ignore[union-attr]
+    cluster.due(first)
+    cluster.settle(*others)
+    assert cluster.leader == first
+    cluster.propose(first)
+    cluster.settle(*others)
+    try:
+        for _ in range(2):
+            cluster.now += TIMING.heartbeat
+            cluster.feed("a", Due())
+            cluster.settle("a", "b")
+    except AssertionError as error:
+        assert found and str(error) == "older than it says"
+    else:
+        assert not found
+        a, b = (cluster.replicas[name].raft for name in ("a", "b"))
+        assert a is not None and a.role is Role.LEADER, "it didn't know"
+        assert b is not None and b.leader == "a"
+        assert min(_ages(cluster, "a", "b")) >= TIMING.election // TIMING.heartbeat
+
+
+def _ages(cluster: Cluster, *names: str) -> list[int]:
+    """How old what each holds may be, in heartbeats; where nothing is known it fails."""
+    out = []
+    for name in names:
+        replica = cluster.replicas[name]
+        assert replica.raft is not None
+        at = replica.raft.vouched(replica.applied)
+        assert at is not None, f"{name} knows nothing"
+        out.append((cluster.now - at) // TIMING.heartbeat)
+    return out
+
+
+def _beats(cluster: Cluster, number: int, *names: str) -> None:
+    """So many heartbeats pass, and what is said among these arrives at once."""
+    for _ in range(number):
+        cluster.now += TIMING.heartbeat
+        for name in cluster.replicas:
+            cluster.feed(name, Due())
+        cluster.settle(*names)
+
+
+def test_in_touch_all_of_them_know_that_what_they_hold_is_new() -> None:
+    cluster = Cluster(THREE)
+    raft = cluster.replicas["a"].raft
+    assert raft is not None and raft.vouched(0) is None, "nothing was heard of yet"
+    cluster.elect("a")
+    for _ in range(20):
+        cluster.propose("a")
+        _beats(cluster, 1)
+        assert max(_ages(cluster, *THREE)) <= 2
+    _beats(cluster, 50)
+    assert max(_ages(cluster, *THREE)) <= 2, "at rest too"
+
+
+def test_a_leader_without_its_quorum_and_who_hears_it_alone_grow_old() -> None:
+    """Of five, a and b are cut off from the rest: a goes on for an election, and b hears it."""
+    names = ("a", "b", "c", "d", "e")
+    cluster = Cluster(names)
+    cluster.elect("a")
+    _beats(cluster, 5)
+    before = cluster.now
+    for _ in range(4):
+        cluster.now += TIMING.heartbeat
+        cluster.feed("a", Due())
+        cluster.feed("b", Due())
+        cluster.settle("a", "b")
+        least = (cluster.now - before) // TIMING.heartbeat
+        ages = _ages(cluster, "a", "b")
+        assert least <= min(ages) and max(ages) <= least + 3
+    assert cluster.leader == "a"
+    _beats(cluster, 20, "a", "b")
+    assert min(_ages(cluster, "a", "b")) >= 24, "and after it has stepped down"
+
+
+def test_a_follower_that_hears_nothing_grows_old_and_knows_again_once_it_has_caught_up() -> None:
+    cluster = Cluster(THREE)
+    cluster.elect("a")
+    _beats(cluster, 3)
+    _beats(cluster, 10, "a", "b")
+    assert _ages(cluster, "c")[0] >= 10 and max(_ages(cluster, "a", "b")) <= 2
+    for _ in range(30):
+        cluster.propose("a")
+    cluster.settle("a", "b")
+    _beats(cluster, 5)
+    assert max(_ages(cluster, *THREE)) <= 2 and cluster.replicas["c"].applied == cluster.replicas["a"].applied
+
+
+def test_a_message_that_lay_in_a_socket_while_its_reader_was_paused_makes_nothing_new() -> None:
+    cluster = Cluster(THREE)
+    cluster.elect("a")
+    _beats(cluster, 5)
+    cluster.now += TIMING.heartbeat
+    cluster.feed("a", Due())
+    late = [m for to, m in cluster.wire if to == "c" and isinstance(m, Append)]
+    cluster.wire.clear()
+    cluster.now += 100 * TIMING.heartbeat  # c is paused, and the others have long gone on
+    for message in late:
+        cluster.feed("c", Received("c", message))
+    assert late and _ages(cluster, "c")[0] >= 100
+
+
+def test_what_a_former_process_had_sent_vouches_for_nothing_in_its_next_life() -> None:
+    cluster = Cluster(THREE)
+    cluster.elect("a")
+    _beats(cluster, 5)
+    cluster.crash("c")
+    cluster.restart("c")
+    cluster.now += TIMING.heartbeat
+    cluster.feed("a", Due())
+    for _, message in [(to, m) for to, m in cluster.wire if to == "c"]:
+        cluster.feed("c", Received("c", message))
+    replica = cluster.replicas["c"]
+    assert replica.raft is not None and replica.raft.vouched(replica.applied) is None
+    cluster.settle()
+    _beats(cluster, 2)
+    assert _ages(cluster, "c")[0] <= 2
+
+
+def test_messages_of_a_version_that_knows_no_ages_vouch_for_nothing() -> None:
+    raft = Raft("c", Kept(), TIMING, 1)
+    raft.handle(0, Received("c", Append(1, "a", 0, 0, (), 0, 1)))
+    assert raft.vouched(0) is None
+    for kind, old in ((Append, (1, "a", 0, 0, (), 0, 1)), (Appended, (1, "a", True, 0, 1))):
+        data = msgspec.msgpack.encode((kind.__name__, *old))
+        assert msgspec.msgpack.decode(data, type=kind) == kind(*old)
+
+
 # Each by itself
 
 
