--- a/packages/cli/src/walnutpost/cli/keepers.py
+++ b/packages/cli/src/walnutpost/cli/keepers.py
@@ -12,6 +12,7 @@
 from walnutpost.agent import Agent, AgentError
 from walnutpost.agreement import Timing
 from walnutpost.cli.configs import CONFIG, end
+from walnutpost.cli.listening import listening
 from walnutpost.cli.run import make_loop, stop_event
 from walnutpost.config import ConfigError, keys_of, load
 from walnutpost.config.base import address_of
@@ -51,6 +52,9 @@
     lines = {line.name: line for line in checked.keepers}
     if name not in lines:
         end(f"--name: found {name!r}; wanted one of {', '.join(lines)}")
+    line = lines[name]
+    place = f"keepers.{checked.keepers.index(line)}.{'address' if line.listen is None else 'listen'}"
+    listen = line.listen or line.address
     loop = make_loop(log)
     broken: list[KeeperError] = []
 
@@ -68,7 +72,7 @@
             loop,
             name,
             {line.name: at(line.address) for line in checked.keepers},
-            address_of(lines[name].listen or lines[name].address),
+            address_of(listen),
             config.parent / checked.folder,
             Timing(us(checked.election_ms), us(checked.heartbeat_ms)),
             us(checked.lease_ms),
@@ -85,7 +89,8 @@
         return kept
 
     try:
-        loop.run(run).close()
+        with listening(config, [(place, listen)]):
+            loop.run(run).close()
     except (StoreError, OSError) as error:
         end(f"{config}: keeper {name}: {error}")
     if broken:
--- a/packages/cli/src/walnutpost/cli/main.py
+++ b/packages/cli/src/walnutpost/cli/main.py
@@ -18,6 +18,7 @@
 from walnutpost.cli.fleet import fleet
 from walnutpost.cli.keepers import agent, is_keepers, keeper, keepers_of
 from walnutpost.cli.keys import keys
+from walnutpost.cli.listening import front_places, listening, stand_in_places
 from walnutpost.cli.times import local, upcoming
 from walnutpost.cli.usage import usage
 from walnutpost.config import (
@@ -96,7 +97,9 @@
         except ConfigError as error:
             end(*error.lines)
     base = (own or config).parent
-    _keys(lambda: run.serve(checked, base, log, False, capture, config, own))
+    source = config if own is None else f"{config} with {own}"
+    with listening(source, front_places(checked)):
+        _keys(lambda: run.serve(checked, base, log, False, capture, config, own))
 
 
 @main.command()
@@ -106,7 +109,8 @@
 def up(log: Any, config: Path, capture: Path | None) -> None:
     """Run a front end and the stand-in workers of CONFIG's fleet in one process."""
     checked = _fleet(config)
-    _keys(lambda: run.serve(checked, config.parent, log, True, capture, config))
+    with listening(config, [*front_places(checked), *stand_in_places(checked)]):
+        _keys(lambda: run.serve(checked, config.parent, log, True, capture, config))
 
 
 @main.command()
@@ -123,7 +127,8 @@
     lines = {line.name: line for line in checked.fleet.workers}
     if name not in lines:
         end(f"--name: found {name!r}; wanted one of {', '.join(lines)}")
-    _keys(lambda: run.work(checked, lines[name], store, log, capture, cold, config.parent))
+    with listening(config, stand_in_places(checked, [name])):
+        _keys(lambda: run.work(checked, lines[name], store, log, capture, cold, config.parent))
 
 
 @main.command("store")
@@ -132,7 +137,9 @@
 @click.pass_obj
 def keep_store(log: Any, config: Path, listen: str) -> None:
     """Run the stand-in package store of CONFIG's fleet."""
-    run.keep_store(_fleet(config), listen, log)
+    checked = _fleet(config)
+    with listening("walnutpost store", [("--listen", listen)]):
+        run.keep_store(checked, listen, log)
 
 
 @main.command("check-config")
--- /dev/null
+++ b/packages/cli/tests/test_listening.py
@@ -0,0 +1,126 @@
+"""An address that can't be listened on is told in one line that names the setting."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from fleet_rig import BASE, merged
+from walnutpost.cli import main
+from walnutpost.cli.listening import listening
+
+
+@pytest.fixture
+def taken() -> Iterator[str]:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        sock.listen()
+        yield "{}:{}".format(*sock.getsockname())
+
+
+def written(path: Path, told: dict[str, Any]) -> str:
+    file = path / "site.json5"
+    file.write_text(json.dumps(told))
+    return str(file)
+
+
+WORKERS = [{"name": "a"}, {"name": "b", "listen": "TAKEN"}]
+JOURNAL = {
+    "name": "a",
+    "listen": "TAKEN",
+    "holders": [{"name": "a", "address": "127.0.0.1:9", "region": "r", "zone": "z"}],
+}
+FRONT = merged(BASE, {"front": {"listen": "TAKEN"}})
+KEEPERS = {"keepers": [{"name": "k0", "address": "127.0.0.1:0"}, {"name": "k1", "address": "TAKEN"}]}
+ELSEWHERE = {"keepers": [{"name": "k1", "address": "127.0.0.1:0", "listen": "TAKEN"}]}
+CASES: dict[str, tuple[dict[str, Any], list[str], str]] = {
+    "up": (FRONT, ["up"], "front.listen"),
+    "serve": (FRONT, ["serve"], "front.listen"),
+    "up with a journal": (merged(BASE, {"journal": JOURNAL}), ["up"], "journal.listen"),
+    "up with a stand-in": (
+        merged(BASE, {"fleet": {"workers": WORKERS}}),
+        ["up"],
+        "fleet.workers.1.listen",
+    ),
+    "a stand-in": (
+        merged(BASE, {"fleet": {"workers": WORKERS}}),
+        ["worker", "--name", "b"],
+        "fleet.workers.1.listen",
+    ),
+    "a keeper": (KEEPERS, ["keeper", "--name", "k1", "--found"], "keepers.1.address"),
+    "a keeper that listens elsewhere": (
+        ELSEWHERE,
+        ["keeper", "--name", "k1", "--found"],
+        "keepers.0.listen",
+    ),
+}
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_a_taken_address_is_one_line_that_names_the_setting(case: str, taken: str, tmp_path: Path) -> None:
+    told, command, place = CASES[case]
+    file = written(tmp_path, json.loads(json.dumps(told).replace("TAKEN", taken)))
+    result = CliRunner().invoke(main, [command[0], file, *command[1:]])
+    assert result.exit_code == 2, (result.output, result.exception)
+    line = f"{file}: {place}: found {taken}, which is taken (Address already in use); wanted a free address"
+    assert result.output.splitlines() == [line]
+
+
+def test_a_process_started_twice_leaves_the_store_of_the_first_alone(taken: str, tmp_path: Path) -> None:
+    file = written(tmp_path, merged(FRONT, {"front": {"listen": taken}}))
+    assert CliRunner().invoke(main, ["serve", file]).exit_code == 2
+    assert [path.name for path in tmp_path.iterdir()] == ["site.json5"]
+
+
+def test_the_store_names_its_option(taken: str, tmp_path: Path) -> None:
+    result = CliRunner().invoke(main, ["store", written(tmp_path, BASE), "--listen", taken])
+    assert result.exit_code == 2
+    assert result.output.startswith(f"walnutpost store: --listen: found {taken}, which is taken (")
+
+
+def test_an_own_file_is_named_with_the_shared_one(taken: str, tmp_path: Path) -> None:
+    shared, own = written(tmp_path, BASE), tmp_path / "own.json5"
+    own.write_text(json.dumps({"front": {"listen": taken}}))
+    result = CliRunner().invoke(main, ["serve", shared, "--own", str(own)])
+    assert result.output.startswith(f"{shared} with {own}: front.listen: found {taken}, which is taken (")
+
+
+def test_all_that_is_taken_is_told_at_once(taken: str, tmp_path: Path) -> None:
+    told = merged(BASE, {"front": {"listen": taken}, "fleet": {"workers": [{"name": "a", "listen": taken}]}})
+    result = CliRunner().invoke(main, ["up", written(tmp_path, told)])
+    lines = result.output.splitlines()
+    for place in ("front.listen", "fleet.workers.0.listen"):
+        assert any(f": {place}: found {taken}, which is taken (" in line for line in lines)
+    assert any("fleet.workers.0.listen: found" in line and "as front.listen has" in line for line in lines)
+
+
+def test_an_address_of_another_machine_is_told_as_such(tmp_path: Path) -> None:
+    """192.0.2.0/24 is for documentation, and no machine's."""
+    told = {"keepers": [{"name": "k1", "address": "192.0.2.1:8501"}]}
+    result = CliRunner().invoke(main, ["keeper", written(tmp_path, told), "--name", "k1", "--found"])
+    assert result.exit_code == 2
+    assert "keepers.0.address: found 192.0.2.1:8501, which is none of this machine (" in result.output
+
+
+def test_an_address_lost_after_the_look_is_one_line_too(capsys: pytest.CaptureFixture[str]) -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock, pytest.raises(SystemExit) as ended:
+        sock.bind(("127.0.0.1", 0))
+        address = "{}:{}".format(*sock.getsockname())
+        with listening("site.json5", [("front.listen", address)]):
+            sock.listen()
+            with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as other:
+                other.bind(sock.getsockname())
+    assert ended.value.code == 2
+    said = capsys.readouterr().err.splitlines()
+    assert len(said) == 1 and said[0].startswith(f"site.json5: front.listen: found {address}, which is taken")
+
+
+def test_another_error_of_the_system_is_not_taken_for_an_address(tmp_path: Path) -> None:
+    with pytest.raises(FileNotFoundError), listening("site.json5", []):
+        (tmp_path / "none").read_bytes()
