Table: a follower's side, loads that are in place only when complete, repair by ranges

Cause: a table may be in force only whole, at one revision, equal by digest, wherever its pages came from. Change: follower.py. Change sets one after the other; the whole state from pages of several relays with the change sets since the lowest of them laid over; ranges loaded anew where a recount or a digest differs; what a page answers is checked, so late and doubled ones change nothing; in force never back; late after 9 s.

--- a/packages/table/src/walnutpost/table/__init__.py
+++ b/packages/table/src/walnutpost/table/__init__.py
@@ -9,6 +9,7 @@
     check_change,
     entry_digest,
 )
+from walnutpost.table.follower import HEARD_WITHIN, VERIFY_EVERY, Follower, Taken
 from walnutpost.table.messages import (
     AGE_HEADER,
     FORMAT,
@@ -47,6 +48,7 @@
     "BUCKETS",
     "CHANGE_BYTES",
     "FORMAT",
+    "HEARD_WITHIN",
     "LOG_BYTES",
     "LOG_MOST",
     "OPS_MOST",
@@ -54,6 +56,7 @@
     "STATUS",
     "SUMS",
     "VALUE_MOST",
+    "VERIFY_EVERY",
     "WATCH",
     "BadChange",
     "BadMessage",
@@ -61,6 +64,7 @@
     "ChangeSet",
     "Diverged",
     "Entry",
+    "Follower",
     "Heard",
     "MemberStatus",
     "Op",
@@ -73,6 +77,7 @@
     "Status",
     "Sums",
     "Table",
+    "Taken",
     "Timed",
     "bucket_of",
     "check_change",
