Fleet: the agreed table and who follows it, in the state that the history drives

SetEntries brings a change set in whole at its entry's index, only on the table that it was checked against; one that was overtaken is not remembered under its id, so the id may be asked again and is still applied once. Followers names who follows the table, as one process each.

--- a/packages/fleet/src/walnutpost/fleet/__init__.py
+++ b/packages/fleet/src/walnutpost/fleet/__init__.py
@@ -14,6 +14,7 @@
     Clear,
     Command,
     Enter,
+    Followers,
     Forget,
     Halt,
     Heard,
@@ -23,6 +24,7 @@
     Resume,
     Return,
     SetBudgets,
+    SetEntries,
     Silent,
     Start,
     Unbegun,
@@ -33,12 +35,13 @@
 from walnutpost.fleet.holder import Holder, Stand
 from walnutpost.fleet.judgement import Figures, Step, Terms, Verdict, judge
 from walnutpost.fleet.leases import Leases, Report, Watch
-from walnutpost.fleet.machine import Fleet
+from walnutpost.fleet.machine import MEANWHILE, BadState, Fleet
 from walnutpost.fleet.sight import Ages, Follower, Listed, Sight, sight_of
 from walnutpost.fleet.state import Member, Permit, Plan, State
 
 __all__ = [
     "FRONT_END",
+    "MEANWHILE",
     "WORKER",
     "Acted",
     "Ages",
@@ -47,6 +50,7 @@
     "Ask",
     "Back",
     "BadCommand",
+    "BadState",
     "Began",
     "Budget",
     "Clear",
@@ -55,6 +59,7 @@
     "Figures",
     "Fleet",
     "Follower",
+    "Followers",
     "Forget",
     "Halt",
     "Heard",
@@ -71,6 +76,7 @@
     "Resume",
     "Return",
     "SetBudgets",
+    "SetEntries",
     "Sight",
     "Silent",
     "Stand",
--- a/packages/fleet/src/walnutpost/fleet/commands.py
+++ b/packages/fleet/src/walnutpost/fleet/commands.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from walnutpost.table.messages import Op
+
 FORMAT = 1
 FRONT_END, WORKER = "front_end", "worker"
 
@@ -64,7 +66,7 @@
 
 
 class Forget(Record, frozen=True, tag=True):
-    """An operator says that the place is gone for good."""
+    """An operator says that the place is gone for good, or who follows the table."""
 
     member: str
 
@@ -199,6 +201,26 @@
     budgets: tuple[Budget, ...]
 
 
+# The agreed table
+
+
+class SetEntries(Record, frozen=True, tag=True):
+    """One change set of the table, checked by the leader against the table of revision `base`; refused where
+    another has entered meanwhile, and then not remembered under its id: it may be asked again."""
+
+    ops: tuple[Op, ...]
+    base: int
+    operator: str = ""
+
+
+class Followers(Record, frozen=True, tag=True):
+    """Who follows the table, as name and incarnation: who came, also in place of another process of that
+    name, and who has ended by itself, where it is still the one agreed on."""
+
+    joined: tuple[tuple[str, str], ...] = ()
+    left: tuple[tuple[str, str], ...] = ()
+
+
 Command = (
     Enter
     | Silent
@@ -218,6 +240,8 @@
     | Resume
     | Alone
     | SetBudgets
+    | SetEntries
+    | Followers
 )
 
 
--- a/packages/fleet/src/walnutpost/fleet/machine.py
+++ b/packages/fleet/src/walnutpost/fleet/machine.py
@@ -1,7 +1,7 @@
 """The machine that the history drives: the same commands give the same state at every keeper.
 
 No I/O, no clock. Each invariant is held in one function: `budgets.out` says who is out, `_grant` alone makes
-permits, `_returned` alone ends them.
+permits, `_returned` alone ends them, `_set_entries` alone changes the table, `_follow` alone who follows it.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 from typing import Any
 
 import msgspec
+from msgspec import structs
 
 from walnutpost.fleet import budgets
 from walnutpost.fleet.commands import (
@@ -24,6 +25,7 @@
     Clear,
     Command,
     Enter,
+    Followers,
     Forget,
     Halt,
     Heard,
@@ -33,29 +35,61 @@
     Resume,
     Return,
     SetBudgets,
+    SetEntries,
     Silent,
     Start,
     Unbegun,
     decode,
 )
 from walnutpost.fleet.state import Member, Permit, Plan, State
+from walnutpost.table.table import BadChange, BadTable, Table
 
 ALONE_MOST = 100  # of what was done without a quorum
 VERSIONS_MOST, PLANS_MOST = 20, 100  # beyond what is needed
 ANSWERS_MOST = 10_000  # remembered: a command that comes again later than so many others is applied anew
-_decoder = msgspec.msgpack.Decoder(State)
+MEANWHILE = "changed meanwhile"  # the table, between a change set's check and its entry
+
+
+class BadState(Exception):
+    """Bytes that are no state, or not the one that they were written as."""
+
+
+class _Kept(State):
+    """What a snapshot holds. `table` empty: of a version that had none."""
+
+    table: bytes = b""
+
+
+_decoder = msgspec.msgpack.Decoder(_Kept)
 
 
 class Fleet:
-    def __init__(self, state: State | None = None) -> None:
+    """`state` and `table` are what the history has made; both are looked at, and changed by `apply` alone."""
+
+    def __init__(self, state: State | None = None, table: Table | None = None) -> None:
         self.state = state or State()
+        self.table = table or Table()
 
-    def snapshot(self) -> bytes:
-        return msgspec.msgpack.encode(self.state, order="deterministic")
+    def snapshot(self, table: bool = True) -> bytes:
+        """The same bytes at each keeper that is at the same entry. `table` False: all but the table, which
+        may be large, for those who ask about the rest."""
+        kept = _Kept(**structs.asdict(self.state), table=self.table.snapshot() if table else b"")
+        return msgspec.msgpack.encode(kept)
 
     @classmethod
     def restore(cls, data: bytes) -> Fleet:
-        return cls(_decoder.decode(data)) if data else cls()
+        """Raises BadState. Without its table where the snapshot was taken without."""
+        if not data:
+            return cls()
+        try:
+            kept = structs.asdict(_decoder.decode(data))
+            held = kept.pop("table")
+            table = Table.restore(held) if held else Table()
+        except (msgspec.MsgspecError, BadTable) as error:
+            raise BadState(str(error)) from error
+        # A version before wrote its dicts sorted: the oldest would no longer be the first.
+        kept["answers"] = dict(sorted(kept["answers"].items(), key=lambda answer: answer[1].index))
+        return cls(State(**kept), table)
 
     def apply(self, index: int, id: str, data: bytes) -> Answer:
         """Once for each id: a command that an asker repeats after a lost answer gets the first answer."""
@@ -68,7 +102,7 @@
             answer = self._do(index, decode(data))
         except BadCommand as error:
             answer = self._no(str(error))
-        if id:
+        if id and answer.why != MEANWHILE:
             state.answers[id] = answer
             while len(state.answers) > ANSWERS_MOST:
                 del state.answers[next(iter(state.answers))]
@@ -90,9 +124,10 @@
             case Forget(member):
                 for permit in [p for p in state.permits.values() if p.member == member]:
                     self._returned(permit)
+                followed = state.followers.pop(member, None) is not None
                 known = state.members.pop(member, None)
                 if known is None:
-                    return self._no(f"no member {member}")
+                    return self._yes() if followed else self._no(f"no member {member}")
                 self._listed(known.kind)
                 for plan in [p for p in state.plans.values() if not p.ended and member in p.order]:
                     plan.order.remove(member)
@@ -147,6 +182,10 @@
             case SetBudgets(told):
                 state.budgets = list(told)
                 return self._yes()
+            case SetEntries():
+                return self._set_entries(index, command)
+            case Followers():
+                return self._follow(command)
 
     # Members
 
@@ -184,6 +223,27 @@
         state = self.state
         return budgets.uses(state.budgets, state.members, state.permits.values(), member.kind, member.zone)
 
+    # The table
+
+    def _set_entries(self, index: int, change: SetEntries) -> Answer:
+        """Whole or not at all, and only on the table that it was checked against."""
+        if change.base != self.table.revision:
+            return self._no(MEANWHILE)
+        try:
+            self.table.change(index, change.ops)
+        except BadChange as error:
+            return self._no(str(error))
+        return self._yes()
+
+    def _follow(self, change: Followers) -> Answer:
+        """Who has ended is meant as that process: another one of its name may have come meanwhile."""
+        followers = self.state.followers
+        for name, incarnation in change.left:
+            if followers.get(name) == incarnation:
+                del followers[name]
+        followers.update(change.joined)
+        return self._yes()
+
     # Permits
 
     def _grant(self, index: int, ask: Ask) -> Answer:
--- a/packages/fleet/src/walnutpost/fleet/state.py
+++ b/packages/fleet/src/walnutpost/fleet/state.py
@@ -71,7 +71,8 @@
 
 class State(Value):
     """`listed`: the entry that last changed what front ends are told of workers. `alone`: what was done
-    without a quorum, the newest last."""
+    without a quorum, the newest last. `followers`: who follows the table, incarnations by name. Dicts keep
+    the order in which the history filled them: the oldest go first."""
 
     index: int = 0
     listed: int = 0
@@ -83,3 +84,4 @@
     halted: str = ""
     alone: list[Alone] = []
     answers: dict[str, Answer] = {}  # by command id, the newest last
+    followers: dict[str, str] = {}
