A call keeps the function that it arrived under, deferred ones and their fates too

Functions are about to change while a front end runs. A deferred call read the catalogue by name at each step, so a function removed in between ended a task (its fate unsaved, its asker unanswered), and an unsafe call that had left could have run again once its function was called safe. Now a deferred call holds its Function from its arrival; a restart decides by the intent alone; a schedule's call of a function that is gone is refused until it is back; aims and metered sizes are looked up at each call. Catalogue.changing: no function's name is numbered for good.

--- a/packages/daemon/src/walnutpost/daemon/deferred.py
+++ b/packages/daemon/src/walnutpost/daemon/deferred.py
@@ -20,15 +20,17 @@
     Failed,
     Failure,
     Final,
+    Function,
     Refused,
     Start,
     Status,
+    UnknownName,
     Unsure,
     admit,
     conclude,
     resume,
 )
-from walnutpost.interface import RequestClass
+from walnutpost.interface import Effect
 from walnutpost.journal import Told
 from walnutpost.loop import Event, Loop
 from walnutpost.store import Appending, Change, ExecutionStore, Listing, StoreError
@@ -36,15 +38,17 @@
 SAVE_AGAIN = 200_000  # between tries to write a fate down; it is told from memory meanwhile
 STORE_RETRY_AFTER = 1_000_000  # what a client is told to wait when the store takes nothing
 PURGE_EVERY = 60_000_000
+UNKNOWN_AGAIN = 1_000_000  # until a schedule asks again for a function that is configured no more
 
 
 class _Open:
     """An execution without a durable fate."""
 
-    __slots__ = ("copies", "durable", "execution", "failed", "shown", "ticket")
+    __slots__ = ("copies", "durable", "execution", "failed", "function", "shown", "ticket")
 
-    def __init__(self, loop: Loop, execution: Execution) -> None:
+    def __init__(self, loop: Loop, execution: Execution, function: Function | None) -> None:
         self.execution = execution
+        self.function = function  # that it arrived under; None where it was no more when this process began
         self.shown = execution  # as askers are told it: with a fate only once that can't be lost
         self.copies: Told | None = None  # how many hold it, where there is a journal
         self.ticket = 0
@@ -59,7 +63,6 @@
         core: Core,
         store: ExecutionStore,
         catalogue: Catalogue,
-        classes: tuple[RequestClass, ...],
         keep_for: int,
         log: Any,
         journal: Journaling | None = None,
@@ -69,7 +72,6 @@
         self._core = core
         self._store = store
         self._catalogue = catalogue
-        self._classes = classes
         self._keep_for = keep_for
         self._log = log
         self._by_name: dict[tuple[str, str], _Open] = {}
@@ -95,6 +97,7 @@
         digest = blake2b(payload + b"\0" + (tenant or "").encode(), digest_size=16).hexdigest()
         now = self._loop.now()
         name = name or request_id
+        arrived = self._function(function)
         try:
             known = self._by_name.get((function, name))
             if known is None:
@@ -109,16 +112,17 @@
                 return None
             known.durable.wait()
             return known.failed or self._accepted(known)
-        refused = self._journal.room(function, len(payload)) if self._journal is not None else None
+        if arrived is None:  # a front has looked just now: only a schedule's function can be gone here
+            return Refused(f"no function {function!r}", UNKNOWN_AGAIN)
+        refused = self._journal.room(arrived, len(payload)) if self._journal is not None else None
         if refused is not None:
             return refused
-        version = self._catalogue.function(function).version
         execution = Execution(
-            uuid.uuid4().hex, name, function, version, tenant, payload, digest, now, now + time_left
+            uuid.uuid4().hex, name, function, arrived.version, tenant, payload, digest, now, now + time_left
         )
-        entry = _Open(self._loop, execution)
+        entry = _Open(self._loop, execution, arrived)
         self._remember(entry)
-        line = self._journal.accepted(execution) if self._journal is not None else None
+        line = self._journal.accepted(execution, arrived) if self._journal is not None else None
         try:
             self._store.add(execution, _both(also, line))
         except StoreError as error:
@@ -142,12 +146,19 @@
         entry.durable.set()
         return self._accepted(entry)
 
+    def _function(self, name: str) -> Function | None:
+        """As it is configured now; None where it isn't."""
+        try:
+            return self._catalogue.function(name)
+        except UnknownName:
+            return None
+
     def _copied(self, entry: _Open, line: Appending | None) -> None:
         """Until the line is held by as many as the call's class asks for. What lacks copies by then runs
         all the same; whoever asked is told, since only the same name can be asked again safely."""
         if self._journal is not None and line is not None:
             left = entry.execution.expires_at - self._loop.now()
-            entry.copies = self._journal.copied(line, entry.execution.function, left)
+            entry.copies = self._journal.copied(line, entry.function, left)
 
     def _withdraw(self, entry: _Open, request_id: str) -> bool:
         """Whether holders know, too: else the client must not hear that it may ask anew, as they would run it
@@ -197,6 +208,7 @@
             durable=True,
             stays=True,
             barred=None if entry.durable.is_set else self._core.barred(e.function, e.tenant),
+            of=entry.function,
         )
         self._core.arrive(call, done)
         accepting = False
@@ -222,7 +234,7 @@
         entry.execution = replace(e, intended=True)
         if self._journal is not None and line is not None:
             left = e.expires_at - self._loop.now()
-            if not self._journal.copied(line, e.function, left, whole=True).enough:
+            if not self._journal.copied(line, entry.function, left, whole=True).enough:
                 raise LookupError("its intent is in too few copies")
 
     # Fates
@@ -245,7 +257,7 @@
             # A fate that was told and then lost with the site could become another. About its deadline its
             # client is told, whatever is held where.
             left = entry.execution.expires_at - self._loop.now()
-            if not self._journal.copied(line, entry.execution.function, left, whole=True).enough:
+            if not self._journal.copied(line, entry.function, left, whole=True).enough:
                 self._log.warning("journal", why="told in too few copies", request=entry.execution.name)
         self._forget(entry)
         self.on_end(entry.execution)
@@ -290,13 +302,14 @@
         """Takes up what the last process left open; returns how many calls that were."""
         left = self._store.open_executions()
         for execution in left:
-            entry = _Open(self._loop, execution)
+            function = self._function(execution.function)
+            entry = _Open(self._loop, execution, function)
             entry.durable.set()
             self._remember(entry)
-            try:
-                effect = self._classes[self._catalogue.function(execution.function).class_index].effect
-                what = resume(execution, effect, self._loop.now())
-            except LookupError:
+            # An intent is written only where the call was not safe when it was sent, whatever its function's
+            # class is now; so that one which may have run is not run again, its function is not asked.
+            what = resume(execution, Effect.UNSAFE, self._loop.now())
+            if function is None and not isinstance(what, Failed):
                 what = Failed(Failure.RESTART, "the function is no longer configured")
             if isinstance(what, Failed):
                 self._core.told(what, execution.name, execution.function, execution.tenant)
--- a/packages/daemon/src/walnutpost/daemon/fleet.py
+++ b/packages/daemon/src/walnutpost/daemon/fleet.py
@@ -18,20 +18,23 @@
 from walnutpost.core import Core
 from walnutpost.daemon.lists import Lists
 from walnutpost.fleet import FRONT_END, Answer, Enter, Figures, Follower, Sight
-from walnutpost.gateway import CallArrived, Final, Refused, Served
+from walnutpost.gateway import CallArrived, Final, Function, Refused, Served
+from walnutpost.interface import RequestClass
 from walnutpost.keeper import KeeperClient, NoAnswer
 from walnutpost.keeper.wire import BadWire, Report, Told
 from walnutpost.loop import Loop
 
 
 class CountedCore(Core):
-    """Counts how calls end, for the judgement of a release. `aims`: microseconds, by function."""
+    """Counts how calls end, for the judgement of a release. Aims are those of `classes`."""
 
     figures = Figures()
-    aims: Mapping[str, int] = {}
+    functions: Mapping[str, Function] = {}
+    classes: tuple[RequestClass, ...] = ()
 
     def arrive(self, call: CallArrived, done: Callable[[Final], None]) -> None:
-        by = self._loop.now() + self.aims.get(call.function, 0)
+        function = call.of or self.functions.get(call.function)
+        by = self._loop.now() + (self.classes[function.class_index].aim if function is not None else 0)
 
         def counted(final: Final) -> None:
             self._count(final, self._loop.now() <= by)
--- a/packages/daemon/src/walnutpost/daemon/front_end.py
+++ b/packages/daemon/src/walnutpost/daemon/front_end.py
@@ -79,20 +79,16 @@
         counted: CountedCore | None = None
         if config.agreement is not None:
             self.core = counted = CountedCore(loop, gateway, self.links, log)
-            functions = self.catalogue.functions.items()
-            counted.aims = {name: settings.classes[f.class_index].aim for name, f in functions}
+            counted.functions, counted.classes = self.catalogue.functions, settings.classes
         self._store = ExecutionStore(loop, base / front.store)
         self.journaling: Journaling | None = None
         if config.journal is not None:
-            self.journaling = Journaling(
-                loop, config, config.journal, self._store, self.catalogue, settings.classes, log
-            )
+            self.journaling = Journaling(loop, config, config.journal, self._store, settings.classes, log)
         self.deferred = Deferred(
             loop,
             self.core,
             self._store,
             self.catalogue,
-            settings.classes,
             us(front.keep_results_ms),
             log,
             self.journaling,
@@ -105,7 +101,9 @@
             self._tasks.append(loop.spawn(keys.follow, self.links, name="keys"))
         self.meters: Meters | None = None
         if config.metering is not None:
-            self.meters = self.core.watch = Meters(loop, config, config.metering, self.links, log, base)
+            functions = self.catalogue.functions
+            self.meters = Meters(loop, config, config.metering, functions, self.links, log, base)
+            self.core.watch = self.meters
             self._tasks.append(loop.spawn(self.meters.run, name="meters"))
         if front.workers_file is not None:
             path = base / front.workers_file
--- a/packages/daemon/src/walnutpost/daemon/journaling.py
+++ b/packages/daemon/src/walnutpost/daemon/journaling.py
@@ -10,7 +10,7 @@
 from walnutpost.config.journal import CopiesLine, HolderLine, Journal
 from walnutpost.config.settings import us
 from walnutpost.fronts.calls import Unreached
-from walnutpost.gateway import Catalogue, Execution, Refused, Status
+from walnutpost.gateway import Execution, Function, Refused, Status
 from walnutpost.interface import RequestClass
 from walnutpost.journal import (
     Accepted,
@@ -44,13 +44,13 @@
         config: Config,
         line: Journal,
         executions: ExecutionStore,
-        catalogue: Catalogue,
         classes: tuple[RequestClass, ...],
         log: Any,
     ) -> None:
         self._loop, self._line, self._log = loop, line, log
-        self._catalogue, self._classes = catalogue, classes
+        self._classes = classes
         self._copies = [line.classes.get(name, CopiesLine()) for name in config.site.classes]
+        self._strictest = max(self._copies, key=lambda line: (line.without == "refuse", line.copies))
         self._places = {h.name: Place(h.name, h.region, h.zone) for h in line.holders}
         self._shunned: dict[str, int] = {}
         self._lost: dict[str, int] = {}
@@ -118,10 +118,11 @@
 
     # Whether, and how many
 
-    def _wanted(self, function: str) -> CopiesLine:
-        return self._copies[self._catalogue.function(function).class_index]
+    def _wanted(self, function: Function | None) -> CopiesLine:
+        """None: the function is configured no more, so which class its call was of isn't known."""
+        return self._copies[function.class_index] if function is not None else self._strictest
 
-    def room(self, function: str, size: int) -> Refused | None:
+    def room(self, function: Function, size: int) -> Refused | None:
         """The answer where a further call can't be copied as its class asks for."""
         wanted = self._wanted(function)
         wait = self.sending.machine.waits(wanted.copies, wanted.without == "less", size)
@@ -129,7 +130,7 @@
             return None
         return Refused(f"{wanted.copies} copies at other sites can't be made now", wait)
 
-    def copied(self, line: Appending, function: str, left: int, whole: bool = False) -> Told:
+    def copied(self, line: Appending, function: Function | None, left: int, whole: bool = False) -> Told:
         """Waits until it is held as its class asks for, but no longer than `copy_wait_ms`, or, with `whole`,
         than `left` where that is more. Where less will do for the class, whatever there is is enough."""
         self.written(line)
@@ -162,9 +163,8 @@
 
     # Lines, to be committed with what they tell of
 
-    def accepted(self, e: Execution) -> Appending:
-        class_index = self._catalogue.function(e.function).class_index
-        effect, wanted = self._classes[class_index].effect, self._copies[class_index]
+    def accepted(self, e: Execution, function: Function) -> Appending:
+        effect, wanted = self._classes[function.class_index].effect, self._wanted(function)
         promise = wanted.copies if wanted.without == "refuse" else 0
         return self.store.append(
             Accepted(
--- a/packages/daemon/src/walnutpost/daemon/meters.py
+++ b/packages/daemon/src/walnutpost/daemon/meters.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator, Mapping
+from math import ceil
 from pathlib import Path
 from typing import Any
 
 from walnutpost.config import Config
 from walnutpost.config.model import Metering
-from walnutpost.config.settings import budgets, meter_policy, sizes, us
-from walnutpost.gateway import AttemptDone, HoldDone, Order, Refused, Start
+from walnutpost.config.settings import budgets, meter_policy, us
+from walnutpost.gateway import AttemptDone, Function, HoldDone, Order, Refused, Start
 from walnutpost.interface import Outcome
 from walnutpost.links import Links
 from walnutpost.loop import Group, Loop, Task
-from walnutpost.metering import HOUR, Budgets, Gap, Ledger, Sight, Standing
+from walnutpost.metering import HOUR, Budgets, Gap, Ledger, Sight, Size, Standing
 from walnutpost.metering.ledger import DOWN
 from walnutpost.store import StoreError, UsageStore
 from walnutpost.store.usage import Run
@@ -22,12 +24,36 @@
 NAMELESS = ""
 
 
+class Sizes(Mapping[str, Size]):
+    """Of functions as they are configured at each look. Memory in whole MB, rounded up, as it is metered."""
+
+    def __init__(self, functions: Mapping[str, Function]) -> None:
+        self._functions = functions
+
+    def __getitem__(self, name: str) -> Size:
+        f = self._functions[name]
+        return Size(ceil(f.memory_mb), int(f.lanes), f.load_time)
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._functions)
+
+    def __len__(self) -> int:
+        return len(self._functions)
+
+
 class Meters:
     """Opens the ledger at construction; raises StoreError. A ledger that can't be written any more keeps
     counting in memory and says so: calls go on."""
 
     def __init__(
-        self, loop: Loop, config: Config, line: Metering, links: Links, log: Any, base: Path
+        self,
+        loop: Loop,
+        config: Config,
+        line: Metering,
+        functions: Mapping[str, Function],
+        links: Links,
+        log: Any,
+        base: Path,
     ) -> None:
         self._loop, self._links, self._log, self._line = loop, links, log, line
         self._default = config.site.default_tenant
@@ -37,7 +63,7 @@
         self._store = UsageStore(loop, base / line.file)
         saved, last = self._store.saved()
         self.ledger = Ledger(meter_policy(line), saved, now)
-        self.sight = Sight(now, sizes(config.site), self._keep_alive)
+        self.sight = Sight(now, Sizes(functions), self._keep_alive)
         self.budgets = Budgets(budgets(line))
         self._acts = self.budgets.act  # only then is sight of workers with books wanted
         self._began = now
--- a/packages/gateway/src/walnutpost/gateway/catalogue.py
+++ b/packages/gateway/src/walnutpost/gateway/catalogue.py
@@ -32,10 +32,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Catalogue:
+    """`functions` may be another at each look where `changing`; a call goes by the one it arrived under."""
+
     functions: Mapping[str, Function]
     tenants: tuple[str, ...] = ()
     default_tenant: str | None = None
     unnamed: bool = False  # whether a call may come without a tenant where there are some: it is none of them
+    changing: bool = False  # then no function's name is kept for good
 
     def function(self, name: str) -> Function:
         try:
--- a/packages/gateway/src/walnutpost/gateway/core.py
+++ b/packages/gateway/src/walnutpost/gateway/core.py
@@ -75,7 +75,7 @@
         self._settings = settings
         self._catalogue = catalogue
         self._router = Router(settings, seed)
-        self._functions = Numbers(FUNCTION_BITS, catalogue.functions)
+        self._functions = Numbers(FUNCTION_BITS, () if catalogue.changing else catalogue.functions)
         self._workers = Numbers(WORKER_BITS)
         self._calls: dict[int, _Call] = {}
         self._tickets: dict[int, _Call] = {}
--- a/packages/gateway/tests/test_gateway.py
+++ b/packages/gateway/tests/test_gateway.py
@@ -38,7 +38,7 @@
 )
 from walnutpost.gateway.catalogue import Numbers, number_of
 from walnutpost.gateway.repeats import ENTRY_BYTES, Repeats
-from walnutpost.interface import Effect, ListKind, Outcome
+from walnutpost.interface import Effect, ListKind, Outcome, RequestArrived
 
 CATALOGUE = Catalogue(
     {"price": Function("price", 0, 300.0, 2.0), "reserve": Function("reserve", 1, 300.0, 1.0)}
@@ -223,6 +223,55 @@
         assert rig.starts()[-1].intent_first == (function == "reserve" and durable)
 
 
+def test_a_call_goes_by_the_function_that_it_arrived_under() -> None:
+    """Its class, version and figures, whatever is configured by the time that it is sent again or answered;
+    a function that is gone is unknown to new calls, and lets open ones end."""
+    functions = {"price": Function("price", 0, 300.0, 2.0, version="1")}
+    rig = Rig()
+    rig.gateway = Gateway(SITE, Catalogue(functions, changing=True), 1)
+    asked: list[tuple[int, float, float, int]] = []
+    handle = rig.gateway._router.handle
+
+    def seen(now: int, event: Any) -> Any:
+        if isinstance(event, RequestArrived):
+            asked.append((event.class_index, event.memory_mb, event.lanes, event.load_time))
+        return handle(now, event)
+
+    rig.gateway._router.handle = seen  # type: ignore[method-assign]
+    rig.feed(WorkersTold(ListKind.CACHED, 1, (WorkerTold("w0"), WorkerTold("w1"))))
+    first = rig.ask()
+    functions["price"] = Function("price", 1, 500.0, 1.0, 7, version="2")
+    second = rig.ask(durable=True)
+    del functions["price"]
+    with pytest.raises(UnknownName):
+        rig.ask()
+    assert asked == [(0, 300.0, 2.0, 0), (1, 500.0, 1.0, 7)]
+    assert [s.intent_first for s in rig.starts()] == [False, True]  # the second's class alone is unsafe
+    rig.done(Outcome.ERROR, 0)  # safe, so it is sent again: its function may be gone by then
+    rig.done(place=1)
+    assert [s.function for s in rig.starts()] == ["price"] * 3
+    rig.done()
+    assert [rig.answers(t)[0].version for t in (first, second)] == ["1", "2"]
+    assert rig.gateway.open_calls == 0
+
+
+def test_names_of_functions_that_change_are_not_kept_for_good() -> None:
+    """10,000 functions that were once there leave nothing behind in the front end's own state."""
+    functions: dict[str, Function] = {}
+    rig = Rig(workers=0)
+    for changing in (True, False):
+        functions.clear()
+        functions.update({f"old{n}": Function(f"old{n}", 0, 300.0, 1.0) for n in range(1000)})
+        rig.gateway = Gateway(SITE, Catalogue(functions, changing=changing), 1)
+        for n in range(9000):
+            functions.pop(f"old{n}", None)
+            functions[f"new{n}"] = Function(f"new{n}", 0, 300.0, 1.0)
+            rig.ask(f"new{n}", time_left=1000)
+            rig.later(20 * SECOND if n % 100 == 0 else 1000)
+        held = len(rig.gateway._functions._names)
+        assert held < 1000 if changing else held >= 1000
+
+
 EVENTS = st.lists(
     st.tuples(st.sampled_from(["ask", "done", "error", "leave", "pass"]), st.integers(0, 9)), max_size=40
 )
