--- a/packages/cli/tests/test_config.py
+++ b/packages/cli/tests/test_config.py
@@ -12,11 +12,13 @@
 from fleet_rig import BASE, merged
 from walnutpost.cli import main
 from walnutpost.config import Config, ConfigError, parse
+from walnutpost.config.keepers import Keepers
 
 ROOT = Path(__file__).parents[3]
 
 HOLDER = {"name": "a", "address": "127.0.0.1:9", "region": "east", "zone": "a"}
 JOURNAL: dict[str, Any] = {"name": "a", "listen": "127.0.0.1:0", "holders": [HOLDER]}
+AGREEMENT: dict[str, Any] = {"member": "f0", "relays": {"r1": "127.0.0.1:8511"}}
 WRONG: list[tuple[dict[str, Any], str, str]] = [
     ({"journal": JOURNAL | {"name": "z"}}, "journal", "found"),
     ({"journal": JOURNAL | {"listen": "0.0.0.0:1"}}, "journal", "127.0.0.0/8"),
@@ -27,6 +29,14 @@
         "found 3",
     ),
     ({"journal": JOURNAL | {"classes": {"sale": {}}}}, "(top)", "sale is none of site.classes"),
+    ({"agreement": {"member": "f0"}}, "agreement", "keepers, relays or both"),
+    ({"agreement": AGREEMENT | {"relays": {"r1": "r1:8511"}}}, "agreement.relays", "r1:8511"),
+    ({"agreement": AGREEMENT | {"relay_zones": {"r2": "a"}}}, "agreement", "r2 is none of them"),
+    (
+        {"site": {"functions": {"price": {"memory_mb": float("inf")}}}},
+        "site.functions.price.memory_mb",
+        "inf",
+    ),
     ({"front": {"lissten": "x"}}, "front.lissten", "not known here"),
     ({"front": {"listen": "0.0.0.0:8400"}}, "front", "127.0.0.0/8"),
     ({"front": {"listen": "8400"}}, "front", "127.0.0.1:8400"),
@@ -66,6 +76,31 @@
     assert any(line.startswith(f"site.json5: {place}: ") and says in line for line in caught.value.lines)
 
 
+KEEPER = {"name": "k1", "address": "127.0.0.1:8501"}
+RELAY = {"name": "r1", "address": "127.0.0.1:8511", "zone": "a"}
+WRONG_KEEPERS: list[tuple[dict[str, Any], str, str]] = [
+    ({"relays": [RELAY, RELAY]}, "(top)", "names of their own; found r1 twice"),
+    ({"relays": [RELAY | {"name": "k1"}]}, "(top)", "names of their own; found k1 twice"),
+    ({"relays": [RELAY | {"address": "8511"}]}, "relays.0.address", "found '8511'"),
+    ({"relays": [RELAY | {"zone": "a b"}]}, "relays.0.zone", "found 'a b'"),
+    ({"relays": [RELAY | {"region": "a"}]}, "relays.0.region", "not known here"),
+]
+
+
+@pytest.mark.parametrize(("more", "place", "says"), WRONG_KEEPERS)
+def test_an_error_of_the_keepers_file_names_its_place(more: dict[str, Any], place: str, says: str) -> None:
+    with pytest.raises(ConfigError) as caught:
+        parse(json.dumps({"keepers": [KEEPER], **more}), "fleet.json5", Keepers)
+    assert any(line.startswith(f"fleet.json5: {place}: ") and says in line for line in caught.value.lines)
+
+
+def test_relays_stand_beside_keepers_or_in_their_place() -> None:
+    told = parse(json.dumps({"keepers": [KEEPER], "relays": [RELAY]}), "fleet.json5", Keepers)
+    assert told.relays[0].zone == "a" and told.relays[0].listen is None
+    agreement = parse(json.dumps(merged(BASE, {"agreement": AGREEMENT})), "site.json5", Config).agreement
+    assert agreement is not None and agreement.relays == AGREEMENT["relays"] and not agreement.keepers
+
+
 def test_all_errors_are_told_at_once_and_the_exit_is_two(tmp_path: Path) -> None:
     path = tmp_path / "bad.json5"
     path.write_text(
--- a/packages/config/src/walnutpost/config/base.py
+++ b/packages/config/src/walnutpost/config/base.py
@@ -23,4 +23,4 @@
 
 
 class Strict(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True, allow_inf_nan=False)
--- a/packages/config/src/walnutpost/config/keepers.py
+++ b/packages/config/src/walnutpost/config/keepers.py
@@ -26,6 +26,12 @@
         return value
 
 
+class RelayLine(KeeperLine):
+    """One that carries the agreed table from the keepers to their members. `zone`: where it stands."""
+
+    zone: KeeperName | None = None
+
+
 class AgentLine(Strict):
     """One process of the fleet. `command` starts it, `{config}` standing for its version's file; it is ready
     once `ready` stands in its output. `first`: the file of its version until one is released. `follows`: a
@@ -71,6 +77,7 @@
     permit may begin, from when it asked; a halt has taken effect after it."""
 
     keepers: list[KeeperLine] = Field(min_length=1, max_length=9)
+    relays: list[RelayLine] = Field(default_factory=list, max_length=100)
     agents: list[AgentLine] = Field(default_factory=list)
     budgets: list[BudgetOut] = Field(default_factory=list)
     judge: JudgeLine = JudgeLine()
@@ -84,9 +91,9 @@
 
     @model_validator(mode="after")
     def _fits(self) -> Keepers:
-        names = [line.name for line in self.keepers]
-        if len(set(names)) < len(names):
-            raise ValueError("keepers with names of their own")
+        names = [line.name for line in (*self.keepers, *self.relays)]
+        if twice := sorted({name for name in names if names.count(name) > 1}):
+            raise ValueError(f"keepers and relays with names of their own; found {', '.join(twice)} twice")
         if not 0 < self.heartbeat_ms * 3 <= self.election_ms:
             raise ValueError("heartbeat_ms above 0 and at most a third of election_ms")
         return self
--- a/packages/config/src/walnutpost/config/load.py
+++ b/packages/config/src/walnutpost/config/load.py
@@ -49,7 +49,7 @@
     try:
         return model.model_validate(told)
     except ValidationError as error:
-        raise ConfigError([_line(source, dict(e)) for e in error.errors()]) from None
+        raise ConfigError([error_line(source, dict(e)) for e in error.errors()]) from None
 
 
 def load_with_own(path: Path, own: Path, model: type[M]) -> M:
@@ -92,7 +92,8 @@
     return told
 
 
-def _line(source: str, error: dict[str, object]) -> str:
+def error_line(source: str, error: dict[str, object]) -> str:
+    """One of pydantic's errors: source, place, found, wanted."""
     loc = error["loc"]
     assert isinstance(loc, tuple)
     place = ".".join(str(part) for part in loc) or "(top)"
--- a/packages/config/src/walnutpost/config/model.py
+++ b/packages/config/src/walnutpost/config/model.py
@@ -11,6 +11,8 @@
 from walnutpost.config.journal import Journal
 from walnutpost.schedules import check_cron, check_zone
 
+CLASSES_MOST = 64
+
 
 class CallClass(Strict):
     """`aim_ms`: answered within it, a call has its whole worth; `deadline_ms`: its caller leaves."""
@@ -74,7 +76,7 @@
 class Site(Strict):
     """What is the same for every front end and worker."""
 
-    classes: dict[Name, CallClass] = Field(min_length=1, max_length=64)
+    classes: dict[Name, CallClass] = Field(min_length=1, max_length=CLASSES_MOST)
     functions: dict[Name, FunctionLine] = Field(min_length=1)
     tenants: dict[Name, TenantLine] = {}
     default_tenant: Name | None = None
@@ -233,14 +235,26 @@
 
 
 class Agreement(Strict):
-    """A fleet whose keepers tell this front end which workers leave. `keepers`: where they are reached;
-    `member`: this front end's name among them. No call waits for any of it."""
-
-    keepers: dict[Name, str] = Field(min_length=1)
+    """The fleet that this front end is a member of, under the name `member`. `keepers`: where they are
+    reached, who tell it which workers leave; `relays`: who carry the agreed settings to it, with
+    `relay_zones` the zones of those whose are known: relays of `front.zone` are asked first. No call waits
+    for any of it."""
+
+    keepers: dict[Name, str] = {}
+    relays: dict[Name, str] = {}
+    relay_zones: dict[Name, Name] = {}
     member: Name
     report_ms: float = Field(500.0, ge=10, le=60_000)
 
-    @field_validator("keepers")
+    @model_validator(mode="after")
+    def _known(self) -> Agreement:
+        if not self.keepers and not self.relays:
+            raise ValueError("keepers, relays or both")
+        if unknown := sorted(set(self.relay_zones) - set(self.relays)):
+            raise ValueError(f"relay_zones of relays; {', '.join(unknown)} is none of them")
+        return self
+
+    @field_validator("keepers", "relays")
     @classmethod
     def _addresses(cls, value: dict[str, str]) -> dict[str, str]:
         for address in value.values():
--- a/packages/config/src/walnutpost/config/settings.py
+++ b/packages/config/src/walnutpost/config/settings.py
@@ -8,7 +8,7 @@
 
 from walnutpost import interface as api
 from walnutpost.config.base import address_of
-from walnutpost.config.model import Config, Metering, Site, WorkerLine
+from walnutpost.config.model import Config, FunctionLine, Metering, Site, WorkerLine
 from walnutpost.gateway import Catalogue, Function, WorkerTold
 from walnutpost.metering import HOUR, Action, Budget, Policy, Size
 from walnutpost.schedules import Missed, Overlap, Schedule, owner_of
@@ -18,20 +18,22 @@
     return round(ms * 1000)
 
 
+def function(name: str, line: FunctionLine, classes: Sequence[str]) -> Function:
+    """`classes`: in the order of the Router's settings. Raises ValueError where it lacks the line's."""
+    return Function(
+        name,
+        classes.index(line.class_),
+        line.memory_mb,
+        float(line.lanes),
+        us(line.load_ms),
+        us(line.cost_ms) if line.cost_ms is not None else None,
+        line.version,
+    )
+
+
 def catalogue(site: Site) -> Catalogue:
     classes = list(site.classes)
-    functions = {
-        name: Function(
-            name,
-            classes.index(f.class_),
-            f.memory_mb,
-            float(f.lanes),
-            us(f.load_ms),
-            us(f.cost_ms) if f.cost_ms is not None else None,
-            f.version,
-        )
-        for name, f in site.functions.items()
-    }
+    functions = {name: function(name, f, classes) for name, f in site.functions.items()}
     return Catalogue(functions, tuple(site.tenants), site.default_tenant)
 
 
