Keeper: change sets, watches, relays' sums, status and entries of the agreed table

POST /table/1/change at the leader takes one change set at a time: its shape and the settings' own check (a callable handed in) against the table as it is; refusals and dry runs are answered only once a quorum has confirmed that table, and one that was overtaken is checked anew. Every keeper answers /table/1/watch through the WatchServer, with the age that Raft vouches for. Sums and status are the leader's, with Standings for its office; the leader proposes who has come to follow or has ended, at most one command a look. A large state gets the time to arrive that its size takes, and the log is compacted by bytes too. /fleet/1/state leaves the table out.

--- a/packages/fleet/src/walnutpost/fleet/machine.py
+++ b/packages/fleet/src/walnutpost/fleet/machine.py
@@ -64,11 +64,13 @@
 
 
 class Fleet:
-    """`state` and `table` are what the history has made; both are looked at, and changed by `apply` alone."""
+    """`state` and `table` are what the history has made; both are looked at, and changed by `apply` alone.
+    `rolls` counts the commands of this process that changed who follows."""
 
     def __init__(self, state: State | None = None, table: Table | None = None) -> None:
         self.state = state or State()
         self.table = table or Table()
+        self.rolls = 0
 
     def snapshot(self, table: bool = True) -> bytes:
         """The same bytes at each keeper that is at the same entry. `table` False: all but the table, which
@@ -125,6 +127,7 @@
                 for permit in [p for p in state.permits.values() if p.member == member]:
                     self._returned(permit)
                 followed = state.followers.pop(member, None) is not None
+                self.rolls += followed
                 known = state.members.pop(member, None)
                 if known is None:
                     return self._yes() if followed else self._no(f"no member {member}")
@@ -242,6 +245,7 @@
             if followers.get(name) == incarnation:
                 del followers[name]
         followers.update(change.joined)
+        self.rolls += 1
         return self._yes()
 
     # Permits
--- /dev/null
+++ b/packages/keeper/src/walnutpost/keeper/changes.py
@@ -0,0 +1,120 @@
+"""How a change set comes into the history: one at a time, checked against the table that it changes."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from walnutpost.fleet import MEANWHILE, Answer, Fleet, SetEntries, encode
+from walnutpost.keeper import wire
+from walnutpost.loop import Loop, Task, Timeout
+from walnutpost.table.entries import CHANGE_BYTES, check_change
+from walnutpost.table.messages import Op
+from walnutpost.table.table import Table
+
+Check = Callable[[Table, Sequence[Op]], list[str]]
+BODY_MOST = 8 * CHANGE_BYTES  # of an order: one far too large is not even read
+TRIES = 20  # of one order, where other change sets come in between
+
+
+class Changes:
+    """`propose` and `confirm` wait: for the agreed answer to a command under its id, and for a quorum's word
+    that this keeper still leads and holds all that is agreed; both answer why not. `check`: what the settings
+    themselves have against a change set. `patience`: microseconds to wait for other orders' turns."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        fleet: Callable[[], Fleet],
+        propose: Callable[[str, bytes], wire.Told],
+        confirm: Callable[[], wire.Told],
+        check: Check | None,
+        patience: int,
+        log: Any,
+    ) -> None:
+        self._loop, self._fleet, self._propose, self._confirm = loop, fleet, propose, confirm
+        self._check, self._patience, self._log = check, patience, log
+        self._turn = _Turn(loop)
+
+    def order(self, body: bytes) -> wire.Told:
+        """Raises BadWire. Under an id that was used before: the answer of then."""
+        if len(body) > BODY_MOST:
+            return _refused(0, [f"change set: found {len(body)} bytes, wanted {CHANGE_BYTES} at most"])
+        order = wire.decode(body, wire.SetOrder)
+        if not order.id:
+            raise wire.BadWire("SetOrder: id: found none, wanted one of its asker's own")
+        try:
+            with self._loop.timeout(self._patience):
+                self._turn.take()
+        except Timeout:
+            return wire.Told(None, False, "other change sets are under way")
+        try:
+            return self._set(order)
+        finally:
+            self._turn.give()
+
+    def _set(self, order: wire.SetOrder) -> wire.Told:
+        for _ in range(TRIES):
+            known = self._fleet().state.answers.get(order.id)
+            if known is not None:
+                return wire.Told(known)
+            table = self._fleet().table
+            base = table.revision
+            errors = self._errors(table, order.ops)
+            if errors or order.dry:
+                told = self._confirm()
+                if told.why:
+                    return told
+                if self._fleet().table.revision != base or order.id in self._fleet().state.answers:
+                    continue  # it was checked against a table that is no longer the newest
+                return _refused(base, errors) if errors else wire.Told(Answer(True, base))
+            command = SetEntries(order.ops, base, order.operator)
+            told = self._propose(order.id, encode(command, time.time()))
+            if told.answer is None or told.answer.why != MEANWHILE:
+                return told
+        return wire.Told(None, False, "other change sets came in between, over and over")
+
+    def _errors(self, table: Table, ops: Sequence[Op]) -> list[str]:
+        errors = check_change(ops)
+        if errors or self._check is None:
+            return errors
+        try:
+            return self._check(table, ops)
+        except Exception as error:  # a check that fails must neither let a change set in nor end the keeper
+            self._log.error("check", why=repr(error))
+            return [f"change set: its check failed: {error!r}"]
+
+
+def _refused(base: int, errors: Sequence[str]) -> wire.Told:
+    why = errors[0] if len(errors) == 1 else f"{errors[0]}, and {len(errors) - 1} more"
+    return wire.Told(Answer(False, base, why), errors=tuple(errors))
+
+
+class _Turn:
+    """One at a time, in the order of asking."""
+
+    def __init__(self, loop: Loop) -> None:
+        self._loop = loop
+        self._taken = False
+        self._waiting: deque[tuple[Task[Any], int]] = deque()
+
+    def take(self) -> None:
+        if not self._taken:
+            self._taken = True
+            return
+        wait = self._loop.waiting()
+        self._waiting.append(wait)
+        try:
+            self._loop.park()  # `give` hands the turn over without setting it free
+        except BaseException:
+            if wait in self._waiting:
+                self._waiting.remove(wait)
+            raise
+
+    def give(self) -> None:
+        while self._waiting:
+            if self._loop.wake(*self._waiting.popleft()):
+                return
+        self._taken = False
--- a/packages/keeper/src/walnutpost/keeper/client.py
+++ b/packages/keeper/src/walnutpost/keeper/client.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
+from typing import TypeVar
+from urllib.parse import quote
 
 from walnutpost.agreement import DEPOSED, NEW_IN_OFFICE, NOT_LEADER, Members
 from walnutpost.fleet import Answer, Command, Fleet, encode
 from walnutpost.http import BadMessage, Connection, Limits, Response
 from walnutpost.keeper import wire
 from walnutpost.loop import Loop, Timeout
+from walnutpost.table import messages as table
+from walnutpost.table.messages import Entry, Heard, Op, Status, Sums
 
+T = TypeVar("T", bound=table.Record)
 PAUSE = 100_000
 
 
@@ -48,8 +53,39 @@
         """What this keeper has of the history after that entry; raises NoAnswer."""
         return self._from(keeper, f"{wire.HISTORY}?after={after}&most={most}", wire.History)
 
+    def set_entries(
+        self, id: str, ops: Sequence[Op], dry: bool = False, operator: str = ""
+    ) -> tuple[Answer, tuple[str, ...]]:
+        """A change set for the agreed table, whole or not at all, and what its checks have against it. The
+        answer's `index` is the revision that it came in with; where it is `dry` or refused, that of the table
+        which it was checked against. An `id` that was used before gets the answer of then."""
+        body = wire.encode(wire.SetOrder(id, tuple(ops), dry, operator))
+        told = wire.decode(self._ask("POST", wire.CHANGE, body).body, wire.Told)
+        assert told.answer is not None
+        return told.answer, told.errors
+
+    def entries(self, kind: str = "") -> tuple[int, list[Entry]]:
+        """The agreed table's revision and entries by key, all or of one kind, as a quorum confirms."""
+        body = self._ask("GET", f"{wire.ENTRIES}?kind={quote(kind)}", b"").body
+        told = wire.decode(body, wire.Entries)
+        return told.revision, list(told.entries)
+
+    def sums(self, sums: Sums) -> Heard:
+        """A relay's report to whoever leads."""
+        return self._of_table("POST", table.SUMS, table.encode(sums), Heard)
+
+    def status(self) -> Status:
+        """Who acts on what, by the leader's knowledge."""
+        return self._of_table("GET", table.STATUS, b"", Status)
+
+    def _of_table(self, method: str, target: str, body: bytes, kind: type[T]) -> T:
+        try:
+            return table.decode(self._ask(method, target, body).body, kind)
+        except table.BadMessage as error:
+            raise NoAnswer(str(error)) from error
+
     def state(self) -> tuple[wire.View, Fleet]:
-        """What a quorum confirms to be the newest."""
+        """What a quorum confirms to be the newest, but for the agreed table: `entries` tells that."""
         view = wire.decode(self._ask("GET", wire.STATE, b"").body, wire.View)
         return view, Fleet.restore(view.state)
 
--- a/packages/keeper/src/walnutpost/keeper/peers.py
+++ b/packages/keeper/src/walnutpost/keeper/peers.py
@@ -12,6 +12,7 @@
 
 WAITING_MOST = 512  # of messages to one keeper: the newest tell most
 TOGETHER_MOST = 128
+RATE_LEAST = 1  # bytes a microsecond: a large state may take its time to arrive
 PAUSE = 20_000  # after a way that failed: the next message says the same or more
 
 
@@ -46,9 +47,10 @@
                 batch: list[Message] = []
                 while self._waiting and self._waiting[0][0] == to and len(batch) < TOGETHER_MOST:
                     batch.append(self._waiting.popleft()[1])
+                body = wire.encode(wire.Post(to, tuple(batch)))
                 try:
-                    with self._loop.timeout(self._answer_time):
-                        self._post(wire.encode(wire.Post(to, tuple(batch))))
+                    with self._loop.timeout(self._answer_time + len(body) // RATE_LEAST):
+                        self._post(body)
                     self.posted += len(batch)
                 except (OSError, BadMessage, Timeout):
                     self.lost += len(batch)
--- a/packages/keeper/src/walnutpost/keeper/process.py
+++ b/packages/keeper/src/walnutpost/keeper/process.py
@@ -39,9 +39,11 @@
     Ages,
     Answer,
     BadCommand,
+    BadState,
     Command,
     Figures,
     Fleet,
+    Followers,
     Report,
     Terms,
     Watch,
@@ -52,15 +54,24 @@
 from walnutpost.http import BadMessage, Exchange, Limits, Response
 from walnutpost.http.server import serve_on
 from walnutpost.keeper import wire
+from walnutpost.keeper.changes import Changes, Check
 from walnutpost.keeper.peers import Peer
 from walnutpost.loop import Loop, Task
 from walnutpost.loop.timers import Timer
 from walnutpost.store import StoreError
 from walnutpost.store.replica import ReplicaStore
+from walnutpost.table import messages as table
+from walnutpost.table.messages import Op
+from walnutpost.table.roster import Standings
+from walnutpost.watch.serving import WatchServer
 
 LOOK_MOST = 500_000
 HISTORY_MOST = 10_000
+LOG_BYTES = 32 << 20  # of entries after the snapshot, where their number allows more
+NEVER = 10**15  # microseconds: the age of what nobody has vouched for
+FOLLOWERS_MOST = 500  # in one command
 TOLD_MOST = 60  # of one value, in a line for people
+KEYS_MOST = 5  # of a change set
 ANSWER_ELECTIONS = 3  # elections that an asker is kept waiting for, at the most
 LOOKS_IN_A_LEASE = 5
 Address = tuple[str, int]
@@ -72,7 +83,8 @@
 
 class Keeper:
     """`addresses` tells where each keeper of the configuration is reached. `found`: all of them
-    start for the first time, and are each other's members. Without it an empty disk waits to be taken in."""
+    start for the first time, and are each other's members. Without it an empty disk waits to be taken in.
+    `check`: what the settings themselves have against a change set, given the table; None: nothing."""
 
     def __init__(
         self,
@@ -90,6 +102,7 @@
         past_most: int = 100_000,
         terms: Terms | None = None,
         failed: Callable[[KeeperError], None] | None = None,
+        check: Check | None = None,
     ) -> None:
         self.name = name
         self._loop, self._log, self._timing, self._lease = loop, log, timing, lease
@@ -108,9 +121,21 @@
         self._askers: dict[str, list[tuple[Task[Any], int]]] = {}
         self._timer: Timer | None = None
         self._watch: Watch | None = None
+        self._standings: Standings | None = None
         self._ages = Ages()
         self._applied = 0
+        self._uncompacted = 0  # bytes
         self._count = 0
+        self.watches = WatchServer(loop, lambda: self.fleet.table, self._age, gather_us=0)
+        self._changes = Changes(
+            loop,
+            lambda: self.fleet,
+            lambda id, command: self._ask(id, Propose(id, command)),
+            self._confirm,
+            check,
+            ANSWER_ELECTIONS * timing.election,
+            log,
+        )
         self._server = serve_on(
             loop, listen, self._serve, self._refusal, Limits(body=wire.BODY_MOST), role="keeper"
         )
@@ -167,6 +192,8 @@
         self._timer = self._loop.call_later(wait, lambda: self._feed(Due()))
 
     def _carry_out(self, effect: Effect) -> None:
+        if self.ended:
+            return
         match effect:
             case Write():
                 self._writes.append(effect)
@@ -178,31 +205,50 @@
                 if peer is not None:
                     peer.send(to, message)
             case Apply(entries):
+                revision, rolls = self.fleet.table.revision, self.fleet.rolls
                 for entry in entries:
                     self._applied = entry.index
+                    self._uncompacted += len(entry.data)
                     if entry.kind is Kind.COMMAND:
                         answer = self.fleet.apply(entry.index, entry.id, entry.data)
                         self._answer(entry.id, wire.Told(answer))
+                        if self._standings is not None:
+                            self._standings.agreed(self._loop.now(), self.fleet.table.revision)
                         if self.raft.role is Role.LEADER:
                             self._log_entry(entry, answer)
                     elif entry.kind is Kind.MEMBERS:
                         self._log.info("keepers", index=entry.index, members=entry.members.all)
                         self._answer(entry.id, wire.Told(Answer(True, entry.index)))
                 self._ages.saw(self._loop.now(), self.fleet.state)
-                if self._applied - self.raft.log.snapshot.index > self._log_most:
+                if self.fleet.rolls != rolls and self._standings is not None:
+                    self._standings.agree(self._loop.now(), self.fleet.state.followers)
+                if self.fleet.table.revision != revision:
+                    self.watches.changed()
+                since = self._applied - self.raft.log.snapshot.index
+                if since > self._log_most or self._uncompacted > LOG_BYTES:
+                    self._uncompacted = 0
                     self._inbox.append(Compact(self._applied, self.fleet.snapshot()))
             case Restore(snapshot):
-                self.fleet, self._applied = Fleet.restore(snapshot.data), snapshot.index
+                try:
+                    self.fleet, self._applied = Fleet.restore(snapshot.data), snapshot.index
+                except BadState as error:
+                    self._fail(f"snapshot {snapshot.index}: {error}")
+                    return
+                self._uncompacted = 0
                 self._ages.saw(self._loop.now(), self.fleet.state)
+                self.watches.changed()
             case ReadReady(id):
                 self._answer(id, wire.Told())
             case Rejected(id, why, leader):
                 self._answer(id, wire.Told(None, True, why, wire.keeper_of(leader)))
             case RoleChanged(role, term, leader):
                 self._log.info("role", role=role.value, term=term, leader=leader)
-                self._watch = None
+                self._watch = self._standings = None
                 if role is Role.LEADER:
-                    self._watch = Watch(self._loop.now(), self._lease, self._terms)
+                    now = self._loop.now()
+                    self._standings = Standings(now, self.fleet.table.revision)
+                    self._standings.agree(now, self.fleet.state.followers)
+                    self._watch = Watch(now, self._lease, self._terms)
                     self._look(self._watch)
 
     def _write(self) -> None:
@@ -213,23 +259,40 @@
                 self._store.write(batch)
                 self._feed(Written(batch[-1].number))
         except StoreError as error:
-            self._log.error("disk", why=str(error))
-            self.ended = True
-            if self._failed is not None:
-                self._failed(KeeperError(str(error)))
+            self._fail(str(error))
         finally:
             self._writing = False
 
+    def _fail(self, why: str) -> None:
+        self._log.error("disk", why=why)
+        self.ended = True
+        if self._failed is not None:
+            self._failed(KeeperError(why))
+
     def _look(self, watch: Watch) -> None:
         """Over and over while it leads; what it proposes is logged once it is agreed on."""
         if watch is not self._watch or self.ended:
             return
-        for command in watch.look(self._loop.now(), self.fleet.state):
+        for command in [*watch.look(self._loop.now(), self.fleet.state), *self._roll()]:
             self._count += 1
             id = f"{self.raft.me}.{self.raft.term}.{self._count}"
             self._loop.call_soon(lambda id=id, c=command: self._feed(Propose(id, encode(c, time.time()))))  # type: ignore[misc]
         self._loop.call_later(min(self._lease // LOOKS_IN_A_LEASE, LOOK_MOST), lambda: self._look(watch))
 
+    def _roll(self) -> list[Command]:
+        """Who relays say has come to follow the table, or has ended. A later look proposes the rest, and
+        again what is not agreed yet."""
+        assert self._standings is not None
+        now, followers = self._loop.now(), self.fleet.state.followers
+        joined = tuple(self._standings.unknown(now)[:FOLLOWERS_MOST])
+        left = tuple((name, followers[name]) for name in self._standings.ended() if name in followers)
+        return [Followers(joined, left[:FOLLOWERS_MOST])] if joined or left else []
+
+    def _age(self) -> int:
+        """Microseconds since a leader last vouched for what is held here."""
+        at = self.raft.vouched(self._applied)
+        return NEVER if at is None else self._loop.now() - at
+
     # Those who ask
 
     def _answer(self, id: str, told: wire.Told) -> None:
@@ -273,11 +336,21 @@
                     return self._told(self._ask(wanted.id, Change(wanted.id, wanted.members)))
                 case "POST", wire.REPORTS:
                     return self._told(self._report(wire.decode(request.body, wire.Report)))
+                case "POST", wire.CHANGE:
+                    return self._told(self._changes.order(request.body))
+                case "POST", table.WATCH:
+                    return self.watches.answer(request.body)
+                case "POST", table.SUMS:
+                    return self._sums(table.decode(request.body, table.Sums))
+                case "GET", table.STATUS:
+                    return self._status()
+                case "GET", wire.ENTRIES:
+                    return self._entries(target[2])
                 case "GET", wire.HISTORY:
                     return self._history(target[2])
                 case "GET", wire.STATE:
                     return self._state(target[2] == "here")
-        except wire.BadWire as error:
+        except (wire.BadWire, table.BadMessage) as error:
             return Response(400, body=str(error).encode())
         return Response(404, body=b"no such thing here")
 
@@ -295,6 +368,38 @@
             answer, sight=sight_of(self.fleet.state, self._loop.now(), self._ages) if newer else None
         )
 
+    # The agreed table
+
+    def _sums(self, sums: table.Sums) -> Response:
+        if self._standings is None:
+            return self._told(wire.Told(None, True, NOT_LEADER, wire.keeper_of(self.raft.leader)))
+        return _packed(table.encode(self._standings.take(self._loop.now(), sums)))
+
+    def _status(self) -> Response:
+        told = self._confirm()
+        if not told.why and self._standings is None:
+            told = wire.Told(None, True, NOT_LEADER, wire.keeper_of(self.raft.leader))
+        if told.why or self._standings is None:
+            return self._told(told)
+        fleet = self.fleet
+        return _packed(
+            table.encode(self._standings.status(self._loop.now(), fleet.table, fleet.state.followers))
+        )
+
+    def _entries(self, query: str) -> Response:
+        """Of one `kind`, or all."""
+        told = self._confirm()
+        if told.why:
+            return self._told(told)
+        kind = parse_qs(query).get("kind", [""])[0]
+        held = self.fleet.table
+        keys = sorted(key for key in held.entries if not kind or key.startswith(f"{kind}/"))
+        body = wire.encode(wire.Entries(held.revision, tuple(held.entries[key] for key in keys)))
+        if len(body) > wire.BODY_MOST:
+            why = f"entries: found {len(body)} bytes, wanted {wire.BODY_MOST} at most: ask for one kind"
+            return Response(413, body=why.encode())
+        return _packed(body)
+
     def _history(self, query: str) -> Response:
         """`after` an index, at the most so many lines; what this keeper has agreed on, oldest first."""
         asked = parse_qs(query)
@@ -306,8 +411,7 @@
             return Response(400, body=b"after and most: whole numbers are wanted")
         first, entries = self._store.past(after, min(most, HISTORY_MOST), self._applied)
         lines = tuple(self._line(entry) for entry in entries)
-        body = wire.encode(wire.History(first, lines))
-        return Response(200, {"Content-Type": "application/msgpack"}, body)
+        return _packed(wire.encode(wire.History(first, lines)))
 
     def _line(self, entry: Entry) -> wire.Line:
         what, told, at = entry.kind.name.lower(), "", 0.0
@@ -327,14 +431,17 @@
         why = line.told if answer.done else f"{line.told}: {answer.why}"
         self._log.info("agreed" if answer.done else "not agreed", index=line.index, what=line.what, why=why)
 
+    def _confirm(self) -> wire.Told:
+        """Whether a quorum says, after the question, that nothing newer is agreed than what is held here."""
+        self._count += 1
+        id = f"read {self.raft.me} {self._count}"
+        return self._ask(id, Read(id))
+
     def _state(self, here: bool) -> Response:
         """With `here` what this keeper holds, however old; else what a quorum confirms."""
-        if not here:
-            self._count += 1
-            id = f"read {self.raft.me} {self._count}"
-            told = self._ask(id, Read(id))
-            if told.why:
-                return self._told(told)
+        told = wire.Told() if here else self._confirm()
+        if told.why:
+            return self._told(told)
         raft = self.raft
         view = wire.View(
             self._applied,
@@ -342,11 +449,11 @@
             wire.keeper_of(raft.leader),
             raft.term,
             raft.members,
-            self.fleet.snapshot(),
+            self.fleet.snapshot(table=False),
             not here,
             dict(self._watch.waits) if self._watch is not None else {},
         )
-        return Response(200, {"Content-Type": "application/msgpack"}, wire.encode(view))
+        return _packed(wire.encode(view))
 
     def _told(self, told: wire.Told) -> Response:
         status = 200 if told.answer is not None else 421 if told.sure else 504
@@ -357,12 +464,21 @@
         return Response(error.status, body=str(error).encode())
 
 
+def _packed(body: bytes) -> Response:
+    return Response(200, {"Content-Type": "application/msgpack"}, body)
+
+
 def _in_words(command: Command) -> str:
-    """What a command says, short: contents of versions and long lists by their size."""
+    """What a command says, short: contents of versions and long lists by their size, a change set's by their
+    keys."""
     out = []
     for name in command.__struct_fields__:
         value = getattr(command, name)
-        if isinstance(value, bytes):
+        if value and isinstance(value, tuple) and isinstance(value[0], Op):
+            keys = [op.key if op.value is not None else f"{op.key} (deleted)" for op in value[:KEYS_MOST]]
+            rest = [f"and {len(value) - KEYS_MOST} more"] if len(value) > KEYS_MOST else []
+            value = " ".join(keys + rest)
+        elif isinstance(value, bytes):
             value = f"{len(value)} bytes"
         elif isinstance(value, tuple) and len(str(value)) > TOLD_MOST:
             value = f"{len(value)} of them"
--- a/packages/keeper/src/walnutpost/keeper/wire.py
+++ b/packages/keeper/src/walnutpost/keeper/wire.py
@@ -8,6 +8,7 @@
 
 from walnutpost.agreement import Members, Message
 from walnutpost.fleet import Answer, Sight
+from walnutpost.table.messages import Entry, Op
 
 FORMAT = 1
 MESSAGES, COMMANDS, STATE, REPORTS, MEMBERS, HISTORY = (
@@ -18,6 +19,7 @@
     "/keeper/1/members",
     "/fleet/1/history",
 )
+CHANGE, ENTRIES = "/table/1/change", "/table/1/entries"  # what relays ask is in table/messages.py
 BODY_MOST = 32 << 20  # a whole state with the versions it keeps
 
 
@@ -45,6 +47,17 @@
     format: int = FORMAT
 
 
+class SetOrder(Record, frozen=True):
+    """A change set for the agreed table; the same `id` again is the same change set. `dry`: it is checked
+    and doesn't enter."""
+
+    id: str
+    ops: tuple[Op, ...]
+    dry: bool = False
+    operator: str = ""
+    format: int = FORMAT
+
+
 class Report(Record, frozen=True):
     """A member is there. `acts`: the entry whose list of workers it acts on; `figures`: its calls since it
     began, as served, refused, failed, served in their aim. Both None from an agent for its process."""
@@ -66,13 +79,14 @@
 
 class Told(Record, frozen=True):
     """An answer. `sure` is False where the command may have been agreed on and may not. `leader` is the
-    keeper that may know more, or empty."""
+    keeper that may know more, or empty. `errors`: what a change set's checks have against it."""
 
     answer: Answer | None = None
     sure: bool = True
     why: str = ""
     leader: str = ""
     sight: Sight | None = None
+    errors: tuple[str, ...] = ()
 
 
 class Line(Record, frozen=True):
@@ -109,8 +123,15 @@
     waits: dict[str, str] = {}  # by plan: what its judgement waits for, as far as this keeper leads
 
 
+class Entries(Record, frozen=True):
+    """The agreed table's entries, all or those of one kind, by key, as a quorum confirmed at `revision`."""
+
+    revision: int
+    entries: tuple[Entry, ...]
+
+
 T = TypeVar("T", bound=Record)
-Spoken = Post | Order | Report | Membership | Told | View | History
+Spoken = Post | Order | SetOrder | Report | Membership | Told | View | History | Entries
 
 
 def encode(value: Spoken) -> bytes:
