A restarted front end has its part of a cold budget back within a window

Cause: placing.py _slow_start_room took the answers counted over a whole span, also where the front end had just started: three spans of two aims to nine tenths of its part, while new workers stood idle.

Change: the unbiased rate since the start of the process, no age less than the rule's window.

--- a/packages/policy/src/walnutpost/policy/placing.py
+++ b/packages/policy/src/walnutpost/policy/placing.py
@@ -122,15 +122,15 @@
     def _slow_start_room(self, w: Worker) -> bool:
         """Rule 4: this front end's part of what a cold worker bears within any span, by what warm ones serve:
         so all parts add up. A part below one send is a turn in so many spans; one each would be too much."""
-        g, age = self._s.guards, self._now - w.started
+        now, g = self._now, self._s.guards
         if not self._cold(w):
             return True
-        while w.sends and w.sends[0] < self._now - g.overload_for - self._grace:
+        while w.sends and w.sends[0] < now - g.overload_for - self._grace:
             w.sends.popleft()
-        strength = g.start_capacity + (1 - g.start_capacity) * max(0, age) / g.cold_for
-        rate = self._served.weighed(self._now) / self._served.span / (self._ready or 1)
+        strength = g.start_capacity + (1 - g.start_capacity) * max(0, now - w.started) / g.cold_for
+        rate = self._served.lately(now, max(now - self._began, g.overload_for)) / (self._ready or 1)
         budget = SLOW_START_CAUTION * g.overload_factor * strength * rate * g.overload_for
-        turn = ((self._s.index + w.info.id) * TURN_STEP + self._now // g.overload_for * TURN_SHIFT) % 1
+        turn = ((self._s.index + w.info.id) * TURN_STEP + now // g.overload_for * TURN_SHIFT) % 1
         return len(w.sends) < int(budget) + (turn < budget % 1)
 
     def _cold(self, w: Worker) -> bool:
--- a/packages/policy/src/walnutpost/policy/state.py
+++ b/packages/policy/src/walnutpost/policy/state.py
@@ -28,8 +28,8 @@
     def weighed(self, now: int) -> float:
         return self.count * math.exp((self.at - now) / self.span)
 
-    def lately(self, now: int) -> float:
-        seen = 1 - math.exp(min(self.began - now, -1) / self.span)  # else it looks small after a start
+    def lately(self, now: int, age: int = 0) -> float:
+        seen = 1 - math.exp(-max(age or now - self.began, 1) / self.span)  # else it looks small after a start
         return self.weighed(now) / self.span / seen
 
 
--- a/packages/policy/tests/rig.py
+++ b/packages/policy/tests/rig.py
@@ -46,8 +46,10 @@
 class Rig:
     """A router with some ready workers, and the actions of its last event."""
 
-    def __init__(self, workers: int = 4, settings: api.Settings = SETTINGS, seed: int = 1) -> None:
-        self.now = 100 * SECOND
+    def __init__(
+        self, workers: int = 4, settings: api.Settings = SETTINGS, seed: int = 1, now: int = 100 * SECOND
+    ) -> None:
+        self.now = now
         self.router = Router(settings, seed)
         self.actions: list[api.Action] = []
         self.all: list[api.Action] = []
