watch: the serving side holds questions, encodes a page once, gathers bursts

A WatchServer answers watches of one table at keepers and relays. The task of a question's connection parks until the table has something newer for it, the hold is over, or the asker has gone. Those held are woken at most once in 200 ms, and who has all that was shown waits for the next wake, so 100 changes in ten seconds are at most 51 answers. Pages are kept encoded by what is owed, 64 at the most, until the next change. No queue per follower; held questions are bounded, one more gets 503. An answer tells how old its vouching is when it leaves, and how long the question was held; a table behind its asker vouches for nothing.

--- a/packages/watch/src/walnutpost/watch/__init__.py
+++ b/packages/watch/src/walnutpost/watch/__init__.py
@@ -1,1 +1,5 @@
 """Long-held watches of the agreed table over HTTP: the serving side and the following side."""
+
+from walnutpost.watch.serving import HELD_HEADER, WatchServer
+
+__all__ = ["HELD_HEADER", "WatchServer"]
--- /dev/null
+++ b/packages/watch/tests/watch_rig.py
@@ -0,0 +1,112 @@
+"""A table, and servers of it on a loop with virtual time; questions asked by hand."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from walnutpost.http import BadMessage, Connection, Exchange, Response, Server, encode_request
+from walnutpost.http.server import serve_on
+from walnutpost.loop import Loop, VirtualClock
+from walnutpost.table import WATCH, Entry, Op, Page, Question, Table, decode, encode
+from walnutpost.watch import WatchServer
+
+SECOND = 1_000_000
+HOLD = 3 * SECOND
+
+
+def refusal(error: BadMessage) -> Response:
+    return Response(error.status, body=str(error).encode())
+
+
+def ops(first: int, count: int = 1, size: int = 20, salt: int = 0) -> list[Op]:
+    return [
+        Op(f"function/f{n:05}", f"{salt}.{n}".encode().ljust(size, b".")) for n in range(first, first + count)
+    ]
+
+
+def filled(count: int = 10, size: int = 20, **limits: int) -> Table:
+    """With `count` keys, of one change set each; its log has them unless `limits` say otherwise."""
+    table = Table(**limits)
+    for n in range(count):
+        table.change(table.revision + 1, ops(n, size=size))
+    return table
+
+
+def large(count: int, size: int = 200) -> Table:
+    """With `count` keys and no history: whoever has nothing is owed a whole state."""
+    entries = {op.key: Entry(op.key, op.value or b"", 1) for op in ops(0, count, size)}
+    return Table.of(entries, 100)
+
+
+class Served:
+    """One server of a table, as a relay or a keeper has it; `table` may be changed through `change`."""
+
+    def __init__(
+        self, loop: Loop, table: Table | None, age: Callable[[], int] = lambda: 0, **more: Any
+    ) -> None:
+        self.loop, self.table = loop, table
+        self.questions: list[Question] = []
+        self.watch = WatchServer(loop, lambda: self.table, age, self.questions.append, **more)
+        self.server: Server = serve_on(loop, ("127.0.0.1", 0), self._handle, refusal)
+        self.address = self.server.address
+
+    def _handle(self, exchange: Exchange) -> Response:
+        assert (exchange.request.method, exchange.request.target) == ("POST", WATCH.encode())
+        return self.watch.answer(exchange.request.body, exchange.stream)
+
+    def change(self, wanted: list[Op]) -> int:
+        assert self.table is not None
+        self.table.change(self.table.revision + 1, wanted)
+        self.watch.changed()
+        return self.table.revision
+
+    def end(self) -> None:
+        """As a process that is killed: all its connections break."""
+        self.server.stop_accepting()
+        for stream in list(self.server.streams):
+            stream.reset()
+
+
+@dataclass
+class Asked:
+    """What came back, when, and how it was headed."""
+
+    status: int
+    page: Page | None
+    headers: dict[str, str]
+    at: int
+    body: bytes
+
+
+class Asker:
+    """A member that asks by hand, over one connection."""
+
+    def __init__(self, loop: Loop, served: Served, member: str = "") -> None:
+        self.loop, self.member, self.session = loop, member, 0
+        self.connection = Connection.open(loop, served.address)
+
+    def ask(self, revision: int, digest: int = 0, hold: int = HOLD, **more: Any) -> Asked:
+        return self.send(encode(Question(self.member, "1", self.session, revision, 0, digest, hold, **more)))
+
+    def send(self, body: bytes) -> Asked:
+        response = self.connection.exchange(encode_request("POST", WATCH, "x", {}, body))
+        page = decode(response.body, Page) if response.status == 200 else None
+        return Asked(response.status, page, response.headers, self.loop.now(), response.body)
+
+
+def play(script: Callable[[Loop], Any], errors: list[BaseException] | None = None) -> Any:
+    """With virtual time: what is waited for comes in no time, and in the same order each time."""
+    found: list[BaseException] = [] if errors is None else errors
+    loop = Loop(VirtualClock(), lambda name, error: found.append(error))
+    result = loop.run(script, loop)
+    assert errors is not None or not found, found
+    return result
+
+
+def until(loop: Loop, condition: Callable[[], object], step: int = 10_000, most: int = 60 * SECOND) -> None:
+    end = loop.now() + most
+    while not condition():
+        assert loop.now() < end, "it never came to that"
+        loop.sleep(step)
