--- a/packages/table/src/walnutpost/table/roster.py
+++ b/packages/table/src/walnutpost/table/roster.py
@@ -410,11 +410,12 @@
 
     def absent(self, now: int, least: int) -> list[str]:
         """Agreed members that no relay has told of for so long, by what this leader has heard."""
-        return sorted(
-            name
-            for name in self._alone
-            if name not in self._strange and now - (self._members[name].told or self._began) >= least
-        )
+        found = []
+        for name in self._alone - self._strange:
+            told = self._members[name].told
+            if now - (self._began if told is None else max(told, self._began)) >= least:
+                found.append(name)
+        return sorted(found)
 
     def status(self, now: int, table: Held, members: Mapping[str, str]) -> Status:
         """`members`: the agreed ones, name to incarnation, as in `agree`."""
