walnutpost config: set, get, diff, history, status and forget on the agreed settings

Cause: settings were files of each front end, and a change a release of all of them.

Keepers check change sets with the settings' own checks. A command that ends early closes its loop first.

Not run yet: status with relays and members, which have not landed.

--- a/packages/cli/src/walnutpost/cli/fleet.py
+++ b/packages/cli/src/walnutpost/cli/fleet.py
@@ -19,6 +19,14 @@
 T = TypeVar("T")
 
 
+class Stop(Exception):
+    """Ends a command from within its loop, which is closed first: what to say and the code."""
+
+    def __init__(self, *lines: str, code: int = 1) -> None:
+        super().__init__(*lines)
+        self.lines, self.code = lines, code
+
+
 PATIENCE, EACH = 10_000_000, 3_000_000
 
 
@@ -32,12 +40,19 @@
 
 def with_keepers(config: Path, log: Any, ask: Callable[[KeeperClient], T]) -> T:
     """Asks within a loop; no answer ends the program with code 3."""
+    return with_loop(config, log, lambda _, client: ask(client))
+
+
+def with_loop(config: Path, log: Any, ask: Callable[[Loop, KeeperClient], T]) -> T:
+    """The same where more than one question is asked."""
     loop: Loop = make_loop(log)
     addresses = {line.name: address_of(line.address) for line in keepers_of(config).keepers}
     try:
-        return loop.run(lambda: ask(KeeperClient(loop, addresses, PATIENCE, EACH)))
+        return loop.run(lambda: ask(loop, KeeperClient(loop, addresses, PATIENCE, EACH)))
     except NoAnswer as error:
         _nobody(error)
+    except Stop as error:
+        end(*error.lines, code=error.code)
 
 
 def _nobody(error: NoAnswer) -> NoReturn:
--- a/packages/cli/src/walnutpost/cli/keepers.py
+++ b/packages/cli/src/walnutpost/cli/keepers.py
@@ -16,6 +16,7 @@
 from walnutpost.cli.run import make_loop, stop_event
 from walnutpost.config import ConfigError, keys_of, load
 from walnutpost.config.base import address_of
+from walnutpost.config.entries import Held, check
 from walnutpost.config.keepers import Keepers
 from walnutpost.config.settings import us
 from walnutpost.fleet import Terms as Step
@@ -83,6 +84,7 @@
             checked.history_most,
             Step(checked.judge.calls, checked.judge.worse, checked.judge.sure),
             failed,
+            lambda table, ops: check(Held(table.entries), ops),
         )
         stop.wait()
         kept.stop()
--- a/packages/cli/src/walnutpost/cli/main.py
+++ b/packages/cli/src/walnutpost/cli/main.py
@@ -13,12 +13,13 @@
 
 import click
 
-from walnutpost.cli import fleet_orders, fleet_plans, fleet_shown, logs, run
+from walnutpost.cli import fleet_orders, fleet_plans, fleet_shown, logs, run, settings_shown
 from walnutpost.cli.configs import CONFIG, config_of, end
 from walnutpost.cli.fleet import fleet
 from walnutpost.cli.keepers import agent, is_keepers, keeper, keepers_of
 from walnutpost.cli.keys import keys
 from walnutpost.cli.listening import front_places, listening, stand_in_places
+from walnutpost.cli.settings import config_group
 from walnutpost.cli.times import local, upcoming
 from walnutpost.cli.usage import usage
 from walnutpost.config import (
@@ -43,7 +44,7 @@
 from walnutpost.trials.stage import StageError
 from walnutpost.trust import BadKeys
 
-FLEET_PARTS = fleet_orders, fleet_plans, fleet_shown  # their commands join the group as they are imported
+PARTS = fleet_orders, fleet_plans, fleet_shown, settings_shown  # their commands join groups at their import
 CAPTURE = click.option(
     "--capture", type=click.Path(path_type=Path), help="Write what the sockets carry to this file."
 )
@@ -181,6 +182,7 @@
 main.add_command(keeper)
 main.add_command(agent)
 main.add_command(fleet)
+main.add_command(config_group)
 
 
 @main.group()
--- /dev/null
+++ b/packages/cli/src/walnutpost/cli/settings_shown.py
@@ -0,0 +1,253 @@
+"""What a fleet has agreed on of its settings, who acts on it, and what became of it, shown."""
+
+from __future__ import annotations
+
+import json
+import re
+import sys
+import time
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import click
+
+from walnutpost.cli.configs import CONFIG, end
+from walnutpost.cli.fleet import FORM, with_keepers, with_loop
+from walnutpost.cli.settings import agreed, changes_of, config_group, in_words, wanted_by
+from walnutpost.config.entries import CLASS, FUNCTION, TENANT, differences
+from walnutpost.keeper import KeeperClient
+from walnutpost.keeper.wire import Line
+from walnutpost.loop import Loop
+from walnutpost.table import Entry, MemberStatus, Status
+from walnutpost.trials.table import aligned
+
+LOOK_EVERY = 250_000
+WINDOW = 1000  # lines of the history that are asked for at a time
+SECTIONS = ((CLASS, "classes"), (FUNCTION, "functions"), (TENANT, "tenants"))
+CHANGE = re.compile(r"ops=(?P<keys>.*?)(, base=\d+)?(, operator=(?P<operator>.*))?")
+
+
+@config_group.command()
+@CONFIG
+@click.argument("key", required=False)
+@click.option(
+    "--format",
+    "form",
+    type=click.Choice(["table", "json", "site"]),
+    default="table",
+    help="`site`: as a section of a configuration file.",
+)
+@click.pass_obj
+def get(log: Any, config: Path, key: str | None, form: str) -> None:
+    """What is agreed on: all of it, or of one KEY as function/NAME, or of one kind as function."""
+    kind, name = (key or "").partition("/")[::2]
+    revision, entries = with_keepers(config, log, lambda client: client.entries(kind))
+    found = [entry for entry in entries if not name or entry.key == key]
+    if key is not None and not found:
+        end(f"{key}: found nothing under it at revision {revision}; wanted a key that is agreed on", code=1)
+    if form == "site":
+        click.echo(json.dumps({"site": _site(found)}, indent=2))
+    elif form == "json":
+        told = {e.key: {"revision": e.revision, "value": json.loads(e.value)} for e in found}
+        click.echo(json.dumps({"revision": revision, "entries": told}))
+    else:
+        rows = [[e.key, str(e.revision), e.value.decode()] for e in found]
+        click.echo(
+            aligned([["key", "since revision", "settings"], *rows]) if rows else "nothing is agreed on"
+        )
+
+
+def _site(entries: Iterable[Entry]) -> dict[str, dict[str, Any]]:
+    out: dict[str, dict[str, Any]] = {}
+    for entry in entries:
+        for kind, section in SECTIONS:
+            if entry.key.startswith(kind):
+                out.setdefault(section, {})[entry.key[len(kind) :]] = json.loads(entry.value)
+    return out
+
+
+@config_group.command()
+@CONFIG
+@click.argument("file", type=click.Path(path_type=Path))
+@FORM
+@click.pass_obj
+def diff(log: Any, config: Path, file: Path, form: str) -> None:
+    """What `config set KEEPERS FILE` would change. Exits 1 where there is anything."""
+    wanted = wanted_by(file)
+    revision, held = with_keepers(config, log, agreed)
+    found = changes_of(held, differences(held, wanted))
+    if form == "json":
+        told = [{"key": key, "agreed": was, "file": now} for key, was, now in found]
+        click.echo(json.dumps({"revision": revision, "differences": told}))
+    elif not found:
+        click.echo(f"{file} says what revision {revision} does")
+    else:
+        for each in found:
+            click.echo(in_words(*each))
+    sys.exit(1 if found else 0)
+
+
+@config_group.command()
+@CONFIG
+@click.option("--after", default=0, show_default=True, help="Only what follows this revision.")
+@click.option("--most", default=20, show_default=True, type=click.IntRange(1, 10_000))
+@FORM
+@click.pass_obj
+def history(log: Any, config: Path, after: int, most: int, form: str) -> None:
+    """The last changes: revision, when by the asker's clock, by whom, which keys."""
+    keeper, first, lines = with_keepers(config, log, lambda client: _changes(client, after, most))
+    told = [_change(line) for line in lines]
+    if form == "json":
+        click.echo(json.dumps({"keeper": keeper, "first": first, "changes": told}))
+        return
+    if first > after + 1 and len(told) < most:
+        click.echo(f"entries before {first} are not kept by {keeper} any more", err=True)
+    heads = ("revision", "asked at", "operator", "keys", "in force")
+    rows = [[str(c[head]) for head in heads] for c in told]
+    click.echo(aligned([list(heads), *rows]) if rows else "no changes")
+
+
+def _changes(client: KeeperClient, after: int, most: int) -> tuple[str, int, list[Line]]:
+    """The newest `most` change sets after an entry, oldest first; read from the end, window by window."""
+    view, _ = client.state()
+    found: list[Line] = []
+    until, first = view.index, 1
+    while until > after and len(found) < most:
+        since = max(after, until - WINDOW)
+        told = client.history(view.keeper, since, until - since)
+        lines = [line for line in told.lines if line.index <= until]
+        found = [line for line in lines if line.what == "setentries"] + found
+        until, first = since, told.first
+        if first > since + 1:
+            break
+    return view.keeper, first, found[-most:]
+
+
+def _change(line: Line) -> dict[str, Any]:
+    told = CHANGE.fullmatch(line.told)
+    answer = line.answer
+    if answer is None:
+        entered = "?"  # too long ago for its answer to be remembered, or asked again
+    elif answer.done and answer.index == line.index:
+        entered = "yes"
+    elif answer.done:
+        entered = f"no: again as {answer.index}"
+    else:
+        entered = f"no: {answer.why}"
+    return {
+        "revision": line.index,
+        "asked at": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(line.at)) if line.at else "",
+        "operator": (told["operator"] or "") if told else "",
+        "keys": told["keys"] if told else line.told,
+        "in force": entered,
+    }
+
+
+@config_group.command()
+@CONFIG
+@click.option("--wait", "wanted", type=int, help="Until all members act on this revision; exits 1 if not.")
+@click.option("--within", default=30.0, show_default=True, help="Seconds to wait at the most.")
+@FORM
+@click.pass_obj
+def status(log: Any, config: Path, wanted: int | None, within: float, form: str) -> None:
+    """Which revision is agreed on and who acts on it: by name who lacks it, and why; relays; last changes."""
+    told = with_loop(config, log, lambda loop, client: _status(loop, client, wanted, within))
+    if form == "json":
+        click.echo(json.dumps(_as_dict(told)))
+    else:
+        for line in _in_lines(told):
+            click.echo(line)
+    if wanted is None or _in_force(told, wanted):
+        return
+    if wanted > told.revision:
+        end(f"--wait: found {wanted}; wanted a revision up to {told.revision}, the newest", code=1)
+    lack = f"{told.lacks} of {told.members} members lack it" if told.members else "nobody follows the table"
+    end(f"revision {wanted} is not in force everywhere after {within:g} s: {lack}", code=1)
+
+
+def _in_force(told: Status, revision: int) -> bool:
+    """Where nobody is known to follow, nobody acts on it."""
+    return told.members > 0 and told.lowest >= revision
+
+
+def _status(loop: Loop, client: KeeperClient, wanted: int | None, within: float) -> Status:
+    until = time.monotonic() + within
+    while True:
+        told = client.status()
+        if wanted is None or _in_force(told, wanted) or wanted > told.revision or time.monotonic() >= until:
+            return told
+        loop.sleep(LOOK_EVERY)
+
+
+def _as_dict(told: Status) -> dict[str, Any]:
+    return {
+        "revision": told.revision,
+        "digest": f"{told.digest:016x}",
+        "floor": told.floor,
+        "entries": told.entries,
+        "members": told.members,
+        "in_force": told.lowest,
+        "lacks": told.lacks,
+        "lacking": [
+            {
+                "member": m.member,
+                "incarnation": m.incarnation,
+                "in_force": m.in_force,
+                "why": _why(m),
+                "relay": m.relay,
+                "heard_s": None if m.heard is None else m.heard / 1e6,
+            }
+            for m in told.lacking
+        ],
+        "relays": [
+            {"relay": name, "revision": revision, "members": members, "heard_s": ago / 1e6}
+            for name, revision, members, ago in told.relays
+        ],
+        "times": [
+            {"revision": t.revision, "took_s": None if t.took is None else t.took / 1e6} for t in told.timed
+        ],
+    }
+
+
+def _why(member: MemberStatus) -> str:
+    """Why it lacks the newest revision, as far as anyone has said."""
+    if member.stuck:
+        return member.stuck
+    if member.heard is None:
+        return "this leader has not heard of it"
+    return "on its way, or its process does not answer"
+
+
+def _in_lines(told: Status) -> list[str]:
+    lines = [
+        f"revision {told.revision}, digest {told.digest:016x}: {told.entries} entries, "
+        f"changes held after revision {told.floor}"
+    ]
+    if not told.members:
+        lines.append("nobody follows the table")
+    elif not told.lacks:
+        lines.append(f"in force everywhere: all {told.members} members act on revision {told.revision}")
+    else:
+        lines.append(
+            f"in force everywhere up to revision {told.lowest}; {told.lacks} of {told.members} members lack "
+            f"revision {told.revision}"
+        )
+        rows = [[m.member, str(m.in_force), _why(m), m.relay or "-", _ago(m.heard)] for m in told.lacking]
+        lines.append(aligned([["lacks it", "acts on", "why", "relay", "heard of"], *rows]))
+        if told.lacks > len(told.lacking):
+            lines.append(f"and {told.lacks - len(told.lacking)} more")
+    relays = [[name, str(rev), str(members), _ago(ago)] for name, rev, members, ago in told.relays]
+    lines.append(
+        aligned([["relay", "holds", "members", "heard of"], *relays]) if relays else "no relay reports"
+    )
+    if told.timed:
+        rows = [
+            [str(t.revision), "not yet" if t.took is None else f"{t.took / 1e6:.3f} s"] for t in told.timed
+        ]
+        lines.append(aligned([["revision", "everywhere after"], *rows]))
+    return lines
+
+
+def _ago(us: int | None) -> str:
+    return "never" if us is None else f"{us / 1e6:.1f} s ago"
--- /dev/null
+++ b/packages/cli/tests/test_settings.py
@@ -0,0 +1,269 @@
+"""`walnutpost config` against a keeper in a process of its own: errors by place, found and wanted."""
+
+from __future__ import annotations
+
+import json
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner, Result
+
+from fleet_rig import BASE, merged
+from walnutpost.cli import main
+from walnutpost.cli.settings import in_words
+from walnutpost.config import Config, parse
+from walnutpost.config.entries import entries_of
+from walnutpost.table import OPS_MOST
+
+SITE = BASE["site"]
+PRICE, RESERVE = SITE["functions"]["price"], SITE["functions"]["reserve"]
+
+
+def free_address() -> str:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return "{}:{}".format(*sock.getsockname())
+
+
+class Agreed:
+    """One keeper, and commands that are given its file."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.file = folder / "keepers.json5"
+        line = {"name": "k1", "address": free_address()}
+        self.file.write_text(json.dumps({"keepers": [line], "election_ms": 400, "heartbeat_ms": 60}))
+        with (folder / "keeper.log").open("wb") as out:
+            command = [sys.executable, "-m", "walnutpost.cli", "keeper", str(self.file), "--name", "k1"]
+            self.process = subprocess.Popen([*command, "--found"], stdout=out, stderr=out)
+
+    def __call__(self, command: str, *args: object) -> Result:
+        """Standard output and error apart, since what is for machines must stand alone."""
+        given = ["config", command, str(self.file), *map(str, args)]
+        return CliRunner().invoke(main, given, catch_exceptions=False)
+
+    def written(self, name: str, *more: dict[str, Any]) -> Path:
+        told = BASE
+        for each in more:
+            told = merged(told, each)
+        path = self.folder / name
+        path.write_text(json.dumps(told))
+        return path
+
+    def get(self) -> dict[str, Any]:
+        told: dict[str, Any] = json.loads(self("get", "--format", "json").stdout)
+        return told
+
+    @property
+    def revision(self) -> int:
+        revision: int = self.get()["revision"]
+        return revision
+
+
+@pytest.fixture
+def agreed(tmp_path: Path) -> Iterator[Agreed]:
+    """With the settings of BASE agreed on."""
+    agreed = Agreed(tmp_path)
+    try:
+        done = agreed("set", agreed.written("site.json5"), "--operator", "anna")
+        assert done.exit_code == 0, (done.output, (tmp_path / "keeper.log").read_text())
+        yield agreed
+    finally:
+        agreed.process.terminate()
+        agreed.process.wait(20)
+
+
+def test_a_file_is_agreed_on_as_what_it_changes(agreed: Agreed) -> None:
+    first = agreed.get()
+    config = parse(json.dumps(BASE), "base", Config)
+    wanted = {key: json.loads(value) for key, value in entries_of(config.site).items()}
+    assert {key: told["value"] for key, told in first["entries"].items()} == wanted
+
+    again = agreed("set", agreed.folder / "site.json5")
+    assert again.exit_code == 0 and f"nothing to change: revision {first['revision']}" in again.stdout
+
+    functions = {"price": PRICE | {"lanes": 3}, "new": PRICE}
+    file = agreed.written("changed.json5")
+    file.write_text(json.dumps(BASE | {"site": SITE | {"functions": functions}}))
+    lines = [
+        "~ function/price: lanes 2 -> 3",
+        '+ function/new: {"class": "valuation", "lanes": 2, "load_ms": 300.0, "memory_mb": 400.0}',
+        '- function/reserve: {"class": "reservation", "load_ms": 300.0, "memory_mb": 300.0}',
+    ]
+    differs = agreed("diff", file)
+    assert differs.exit_code == 1 and sorted(differs.stdout.splitlines()) == sorted(lines)
+    told = json.loads(agreed("diff", file, "--format", "json").stdout)
+    assert told["revision"] == first["revision"] and len(told["differences"]) == 3
+
+    dry = agreed("set", file, "--dry")
+    assert dry.exit_code == 0 and f"right on revision {first['revision']}; not agreed on" in dry.stdout
+    assert agreed.get() == first
+
+    done = agreed("set", file)
+    now = agreed.get()
+    assert done.exit_code == 0 and f"agreed on as revision {now['revision']}" in done.stdout
+    assert sorted(done.stdout.splitlines()[:3]) == sorted(lines)
+    assert sorted(now["entries"]) == [
+        *("class/reservation", "class/valuation", "function/new", "function/price"),
+        *("tenant/tills", "tenant/trade"),
+    ]
+    assert now["entries"]["function/price"]["revision"] == now["revision"] > first["revision"]
+    assert now["entries"]["class/valuation"] == first["entries"]["class/valuation"]  # untouched
+    same = agreed("diff", file)
+    assert same.exit_code == 0 and f"says what revision {now['revision']} does" in same.stdout
+
+
+def test_one_function_is_changed_by_its_fields(agreed: Agreed) -> None:
+    done = agreed("set", "--function", "price", "lanes=4", "cost_ms=2.5", "version=17")
+    assert done.exit_code == 0, done.output
+    assert '~ function/price: cost_ms default -> 2.5, lanes 2 -> 4, version default -> "17"' in done.stdout
+    back = agreed("set", "--function", "price", "cost_ms=", "version=", "lanes=2")
+    assert back.exit_code == 0 and agreed.get()["entries"]["function/price"]["value"] == {
+        **{"class": "valuation", "lanes": 2, "load_ms": 300.0, "memory_mb": 400.0}
+    }
+    new = agreed("set", "--function", "new", "class=reservation", "memory_mb=64")
+    assert new.exit_code == 0 and "+ function/new: " in new.stdout
+    same = agreed("set", "--function", "new", "memory_mb=64.0")
+    assert same.exit_code == 0 and "nothing to change" in same.stdout
+    gone = agreed("set", "--function", "new", "--delete")
+    assert gone.exit_code == 0 and "- function/new: " in gone.stdout
+    assert "function/new" not in agreed.get()["entries"]
+
+
+WRONG: list[tuple[list[str], int, str]] = [
+    (["--function", "price", "lanes=0"], 2, "function/price: lanes: found 0; wanted: "),
+    (["--function", "price", "lanes=two"], 2, "function/price: lanes: found 'two'; wanted: "),
+    (["--function", "price", "lames=2"], 2, "function/price: lames: found a key that is not known here"),
+    (["--function", "price", "lanes"], 2, "function/price: found 'lanes'; wanted FIELD=VALUE, as lanes=3"),
+    (["--function", "new", "class=valuation"], 2, "function/new: memory_mb: found nothing; wanted a value"),
+    (
+        ["--function", "price", "class=sale"],
+        1,
+        "function/price: class: found 'sale'; wanted one of reservation, valuation",
+    ),
+    (["--function", "none", "--delete"], 1, "function/none: (top): found nothing to delete; wanted a key "),
+    (["--function", "a/b", "class=valuation", "memory_mb=1"], 2, "key 'function/a/b': "),
+    ([], 2, "one FILE is wanted"),
+    (["--function", "price"], 2, "--function NAME wants FIELD=VALUE or --delete"),
+    (["--function", "price", "lanes=2", "--delete"], 2, "--function NAME wants FIELD=VALUE or --delete"),
+    (["none.json5"], 2, "none.json5: cannot be read: "),
+]
+
+
+def test_what_is_wrong_is_told_by_place_found_and_wanted(agreed: Agreed) -> None:
+    before = agreed.get()
+    for args, code, says in WRONG:
+        refused = agreed("set", *args)
+        assert refused.exit_code == code, (args, refused.output)
+        assert any(says in line for line in refused.stderr.splitlines()), (args, refused.stderr)
+    missing = agreed("get", "function/none")
+    assert missing.exit_code == 1
+    assert "function/none: found nothing under it at revision" in missing.stderr
+    assert agreed.get() == before
+
+
+def test_what_members_take_up_at_a_start_only_is_refused_and_the_functions_alone_are_not(
+    agreed: Agreed,
+) -> None:
+    before = agreed.revision
+    told = {"classes": {"valuation": {"aim_ms": 900}}, "tenants": {"trade": {"share": 0.1}}}
+    file = agreed.written("start.json5", {"site": told}, {"site": {"functions": {"price": {"lanes": 5}}}})
+    refused = agreed("set", file)
+    assert refused.exit_code == 1 and agreed.revision == before
+    for says in (
+        "class/valuation: aim_ms: found 900.0; wanted 1000.0, as agreed: taken up at a start only",
+        "tenant/trade: share: found 0.1; wanted 0.3, as agreed: taken up at a start only",
+        "not done, nothing of it has changed",
+    ):
+        assert any(line.startswith(says) for line in refused.stderr.splitlines()), refused.stderr
+    assert agreed("set", file, "--dry").exit_code == 1
+    done = agreed("set", file, "--functions")
+    assert done.exit_code == 0 and agreed.get()["entries"]["function/price"]["value"]["lanes"] == 5
+
+
+def test_a_file_that_is_too_much_for_one_change_set_is_told_so_and_may_come_in_parts(agreed: Agreed) -> None:
+    before = agreed.revision
+    many = {f"f{i:05}": PRICE for i in range(OPS_MOST + 500)}
+    file = agreed.written("many.json5", {"site": {"functions": many}})
+    refused = agreed("set", file)
+    assert refused.exit_code == 2 and agreed.revision == before
+    says = f"{file}: change set: found {OPS_MOST + 500} keys, wanted 1 to {OPS_MOST}; --in-parts makes 2 "
+    assert any(line.startswith(says) for line in refused.stderr.splitlines()), refused.stderr
+    done = agreed("set", file, "--in-parts", "--id", "again")
+    assert done.exit_code == 0
+    assert "not one change set but 2: each is in force by itself" in done.stderr
+    assert "part 1 of 2: agreed on as revision" in done.stdout and "part 2 of 2: agreed on as" in done.stdout
+    assert agreed("diff", file).exit_code == 0
+    # Other changes under the id of before are no repeat of those.
+    assert agreed("set", file.with_name("site.json5"), "--in-parts", "--id", "again").exit_code == 0
+    assert agreed("diff", file.with_name("site.json5")).exit_code == 0
+
+
+def test_what_is_agreed_on_can_be_written_as_a_file_of_the_same_form(agreed: Agreed) -> None:
+    file = agreed.folder / "got.json5"
+    file.write_text(agreed("get", "--format", "site").stdout)
+    assert agreed("diff", file).exit_code == 0
+    one = agreed("get", "function/price")
+    assert one.exit_code == 0 and "function/price" in one.stdout and "function/reserve" not in one.stdout
+    kind = agreed("get", "tenant")
+    assert "tenant/trade" in kind.stdout and "function/price" not in kind.stdout
+
+
+def test_the_history_tells_who_changed_which_keys_and_when(agreed: Agreed) -> None:
+    first = agreed.revision
+    agreed("set", "--function", "price", "lanes=4", "--operator", "ben")
+    agreed("set", "--function", "reserve", "--delete", "--operator", "")
+    told = json.loads(agreed("history", "--format", "json").stdout)
+    assert [(c["operator"], c["in force"]) for c in told["changes"]] == [
+        *(("anna", "yes"), ("ben", "yes"), ("", "yes"))
+    ]
+    assert [c["keys"] for c in told["changes"][1:]] == ["function/price", "function/reserve (deleted)"]
+    assert told["changes"][0]["revision"] == first and agreed.revision == told["changes"][2]["revision"]
+    assert all(time.strptime(change["asked at"], "%Y-%m-%dT%H:%M:%SZ") for change in told["changes"])
+    last = agreed("history", "--most", "1").stdout
+    assert "function/reserve (deleted)" in last and "ben" not in last
+    assert "ben" in agreed("history", "--after", first).stdout
+    assert "anna" not in agreed("history", "--after", first).stdout
+
+
+def test_the_status_without_members_claims_nothing(agreed: Agreed) -> None:
+    told = json.loads(agreed("status", "--format", "json").stdout)
+    assert told["revision"] == agreed.revision and told["members"] == 0 and len(told["digest"]) == 16
+    shown = agreed("status")
+    assert shown.exit_code == 0 and "nobody follows the table" in shown.stdout
+    assert "no relay reports" in shown.stdout
+    waited = agreed("status", "--wait", told["revision"], "--within", 0)
+    assert waited.exit_code == 1 and "nobody follows the table" in waited.stderr
+    ahead = agreed("status", "--wait", told["revision"] + 1)
+    assert ahead.exit_code == 1
+    assert f"--wait: found {told['revision'] + 1}; wanted a revision up to {told['revision']}" in ahead.stderr
+    forgotten = agreed("forget", "nobody")
+    assert forgotten.exit_code == 1 and "not done: no member nobody" in forgotten.stderr
+
+
+def test_without_a_quorum_commands_end_with_3(agreed: Agreed, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("walnutpost.cli.fleet.PATIENCE", 500_000)
+    agreed.process.terminate()
+    agreed.process.wait(20)
+    file = agreed.folder / "site.json5"
+    for command in (["status"], ["get"], ["history"], ["diff", file], ["set", file]):
+        ended = agreed(command[0], *command[1:])  # type: ignore[arg-type]
+        assert ended.exit_code == 3 and "no quorum of the keepers answered" in ended.stderr
+
+
+@pytest.mark.parametrize(
+    ("was", "now", "says"),
+    [
+        (None, {"a": 1}, '+ k: {"a": 1}'),
+        ({"a": 1}, None, '- k: {"a": 1}'),
+        ({"a": 1, "b": "x"}, {"b": "y", "c": 2}, '~ k: a 1 -> default, b "x" -> "y", c default -> 2'),
+    ],
+)
+def test_a_change_is_told_in_a_line(was: Any, now: Any, says: str) -> None:
+    assert in_words("k", was, now) == says
