A front end reads a function's entry without writing it anew

Cause: function_of wrote each value again to see that it is canonical, which keepers see to before it is agreed on. Change: that look stands in the check alone.

--- a/packages/config/src/walnutpost/config/entries.py
+++ b/packages/config/src/walnutpost/config/entries.py
@@ -134,6 +134,8 @@
         line = _line_of(key, value)
     except ValueError as error:
         return str(error).splitlines()
+    if (canonical := value_of(line)) != value:  # else two who agree would differ by digest
+        return [f"{key}: (top): found {_short(value)}; wanted its canonical form {_short(canonical)}"]
     if key == TENANT + "-":
         return [f"{key}: (key): found '-'; wanted another name: it stands for nobody"]
     if (known := held.get(key)) is not None and known != value and not key.startswith(FUNCTION):
@@ -147,14 +149,9 @@
     """Raises ValueError with a line for each fault."""
     model = KINDS[key[: key.index("/") + 1]]
     try:
-        line = model.model_validate_json(value)
+        return model.model_validate_json(value)
     except ValidationError as error:
         raise ValueError("\n".join(error_line(key, dict(e)) for e in error.errors())) from None
-    if (canonical := value_of(line)) != value:  # else two who agree would differ by digest
-        raise ValueError(
-            f"{key}: (top): found {_short(value)}; wanted its canonical form {_short(canonical)}"
-        )
-    return line
 
 
 def _goes(key: str, held: Mapping[str, bytes], changes: Mapping[str, bytes | None]) -> list[str]:
