watch: the following side asks one question at a time, moves, paces whole states

A Watcher keeps a Follower up with the table over one kept-alive connection. The next question is the acknowledgement. It leaves a server that refuses, breaks off, says nothing within the hold and 2 s, or whose answer doesn't hold together, for the one that Choice names; the first question elsewhere is not held, so that it is known at once that there is a server. Whole states, repairs and catching up are paced at 22 KB/s of received bytes, 64 KiB more once; an answer that changes nothing is followed by a pause that doubles from 50 ms to 2 s. An answer's age counts from the asking and the time that it was held, not from its reading: one that lay on its way is as old as that. A table behind its asker vouches for nothing.

--- /dev/null
+++ b/packages/watch/tests/test_client.py
@@ -0,0 +1,701 @@
+"""The following side: one question at a time, moves, pace; a bad server costs neither spin nor state."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import suppress
+from itertools import pairwise
+from typing import Any
+
+import pytest
+from msgspec.structs import replace
+
+from walnutpost.http import Response, encode_response
+from walnutpost.loop import Listener, Loop, Stream
+from walnutpost.table import AGE_HEADER, ChangeSet, Entry, Op, Page, Question, Table, encode, owed
+from walnutpost.table.choice import order
+from walnutpost.watch import HELD_HEADER
+from walnutpost.watch.client import BODY_MOST, BURST, RATE
+from watch_rig import HOLD, SECOND, Asker, Member, Raw, Served, filled, large, ops, play, until
+
+HEADERS = {AGE_HEADER: "0", HELD_HEADER: "0"}
+
+
+def where(served: Any) -> Callable[[], tuple[str, int]]:
+    return lambda: served.address
+
+
+def both(a: Any, b: Any) -> dict[str, Callable[[], tuple[str, int]]]:
+    return {"a": where(a), "b": where(b)}
+
+
+def homed(server: str, count: int) -> list[str]:
+    """Names of members that ask this one of `a` and `b` first."""
+    names = (f"fe{n}" for n in range(1000))
+    return [name for name in names if order(name, {"a": "r", "b": "r"}, "r")[0] == server][:count]
+
+
+def copy(table: Table) -> Table:
+    return Table.restore(table.snapshot())
+
+
+# Following
+
+
+def test_what_is_taken_is_acknowledged_by_the_next_question() -> None:
+    def script(loop: Loop) -> None:
+        served = Served(loop, filled(3), gather_us=0)
+        member = Member(loop, {"a": where(served)})
+        until(loop, lambda: member.same(served.table))
+        for n in range(5):
+            until(loop, lambda: served.watch.held)
+            revision = served.change(ops(n, 3))
+            asked = loop.now()
+            until(loop, lambda r=revision: served.questions[-1].in_force == r)  # type: ignore[misc]
+            assert loop.now() - asked < SECOND
+        assert member.same(served.table) and member.acted == sorted(set(member.acted))
+        assert len(served.server.streams) == 1 and member.watcher.counts.moves == 0
+
+    play(script)
+
+
+def test_at_rest_there_is_one_question_in_each_hold() -> None:
+    def script(loop: Loop) -> None:
+        served = Served(loop, filled(3))
+        member = Member(loop, {"a": where(served)})
+        until(loop, lambda: served.watch.held)
+        asked, bytes_in = member.watcher.counts.questions, member.watcher.counts.bytes_in
+        loop.sleep(30 * HOLD)
+        assert 28 <= member.watcher.counts.questions - asked <= 31
+        assert member.watcher.counts.bytes_in - bytes_in < 31 * 200
+        assert served.watch.held <= 1 and not member.log.count("watch lost")
+
+    play(script)
+
+
+def test_bytes_are_those_on_the_wire() -> None:
+    def script(loop: Loop) -> None:
+        served = Served(loop, filled(3))
+        member = Member(loop, {"a": where(served)})
+        until(loop, lambda: member.same(served.table))
+        counts = member.watcher.counts
+        assert counts.bytes_in > served.watch.counts.bytes
+        assert counts.bytes_in < served.watch.counts.bytes + 300 * counts.questions
+        assert counts.bytes_out > sum(len(encode(q)) for q in served.questions)
+
+    play(script)
+
+
+def test_what_fails_in_taking_does_not_end_the_following() -> None:
+    errors: list[BaseException] = []
+
+    def script(loop: Loop) -> None:
+        served = Served(loop, filled(3))
+        member = Member(loop, {"a": where(served)})
+
+        def fails(taken: object) -> None:
+            raise ValueError("no such class")
+
+        member.watcher._on_taken = fails
+        until(loop, lambda: served.watch.held)
+        served.change(ops(1))
+        until(loop, lambda: member.same(served.table))
+        loop.sleep(2 * HOLD)
+        assert served.watch.held and served.questions[-1].in_force == 0
+
+    play(script, errors)
+    assert errors and all(isinstance(e, ValueError) for e in errors)
+
+
+# Moves
+
+
+def test_a_killed_relay_s_followers_go_on_elsewhere_without_a_whole_state() -> None:
+    def script(loop: Loop) -> None:
+        table = large(400)
+        one, other = Served(loop, table), Served(loop, copy(table))
+        members = [
+            Member(loop, both(one, other), f"fe{n}", n, log_most=0)
+            if False
+            else Member(loop, both(one, other), f"fe{n}", n)
+            for n in range(30)
+        ]
+        until(loop, lambda: all(m.same(table) for m in members))
+        for served in (one, other):
+            served.change(ops(1))
+        until(loop, lambda: all(m.same(one.table) for m in members))
+        homes = {m.watcher.server for m in members}
+        assert homes == {"a", "b"}
+        lost, left = (one, other)
+        lost.end()
+        asked = len(left.questions)
+        for n in range(2, 12):
+            left.change(ops(n))
+            loop.sleep(SECOND // 5)
+        until(loop, lambda: all(m.same(left.table) for m in members))
+        later = left.questions[asked:]
+        assert not [q for q in later if q.after is not None or q.revision < 100]
+        # Each goes on where it was, in order, and says so with a higher session.
+        assert all(m.acted == sorted(set(m.acted)) for m in members)
+        moved = {q.member for q in later if q.session == 1}
+        assert moved == {m.follower.member for m in members if m.watcher.counts.moves}
+        assert len(moved) == sum(home == "a" for home in [m.choice._order[0] for m in members])
+
+    play(script)
+
+
+STATUSES = [421, 400, 404, 500, 502, 503, 302]
+
+
+@pytest.mark.parametrize("status", STATUSES)
+def test_a_server_that_refuses_is_left(status: int) -> None:
+    def script(loop: Loop) -> None:
+        bad = Raw(loop, lambda question: Response(status, body=b"no"))
+        good = Served(loop, filled(3))
+        members = [Member(loop, both(bad, good), name, n) for n, name in enumerate(homed("a", 6))]
+        began = loop.now()
+        until(loop, lambda: all(m.same(good.table) for m in members))
+        assert loop.now() - began < 2 * SECOND
+        assert len(bad.questions) == 6
+
+    play(script)
+
+
+def test_a_server_that_says_nothing_is_left_after_the_hold() -> None:
+    def script(loop: Loop) -> None:
+        def silent(question: Question) -> None:
+            loop.sleep(3600 * SECOND)
+
+        bad, good = Raw(loop, silent), Served(loop, filled(3))
+        members = [Member(loop, both(bad, good), name, n) for n, name in enumerate(homed("a", 6))]
+        until(loop, lambda: all(m.same(good.table) for m in members))
+        # The first question is not held, so a silent server is known by ANSWER_TIME alone.
+        assert len(bad.questions) == 6 and {q.hold for q in bad.questions} == {0}
+        assert all(not m.follower.late(loop.now()) for m in members)
+
+    play(script)
+
+
+def test_a_server_that_falls_silent_while_it_holds_is_left_in_time() -> None:
+    def script(loop: Loop) -> None:
+        one, other = Served(loop, filled(3)), Served(loop, filled(3))
+        member = Member(loop, both(one, other))
+        until(loop, lambda: one.watch.held + other.watch.held)
+        home, away = (one, other) if one.watch.held else (other, one)
+
+        def stuck(most: int, stream: object) -> bool:
+            loop.sleep(3600 * SECOND)
+            return False
+
+        home.watch._hold = stuck  # type: ignore[method-assign]
+        until(loop, lambda: away.questions)
+        until(loop, lambda: away.watch.held)
+        assert not member.log.count("control not heard for 9 s")
+        assert member.watcher.counts.moves == 1
+
+    play(script)
+
+
+def test_an_address_that_is_not_known_counts_as_not_reached() -> None:
+    def script(loop: Loop) -> None:
+        def unknown() -> tuple[str, int]:
+            raise OSError("no such host")
+
+        good = Served(loop, filled(3))
+        members = [Member(loop, {"a": unknown, "b": where(good)}, f"fe{n}", n) for n in range(6)]
+        until(loop, lambda: all(m.same(good.table) for m in members))
+
+    play(script)
+
+
+def test_it_goes_home_when_home_has_been_back_for_long_enough() -> None:
+    def script(loop: Loop) -> None:
+        one, other = Served(loop, filled(3)), Served(loop, filled(3))
+        places = {"a": one.address, "b": other.address}
+        member = Member(loop, {"a": lambda: places["a"], "b": lambda: places["b"]})
+        home = member.choice._order[0]
+        address, places[home] = places[home], ("127.0.0.1", 1)
+        until(loop, lambda: member.same(one.table))
+        assert member.watcher.server != home
+        places[home] = address
+        loop.sleep(30 * SECOND)
+        assert member.watcher.server != home
+        loop.sleep(120 * SECOND)
+        assert member.watcher.server == home and member.watcher.counts.moves == 2
+        assert (one if home == "a" else other).questions[-1].session == 2
+
+    play(script)
+
+
+def test_there_are_never_two_questions_of_one_member_at_once() -> None:
+    """Servers that time out, refuse and hold; what a connection asks is over before another asks."""
+
+    def script(loop: Loop) -> None:
+        open_now: set[int] = set()
+        most = 0
+
+        def strange(question: Question) -> Response:
+            loop.sleep((0, 10 * SECOND, SECOND)[question.session % 3])
+            return Response(503)
+
+        def counting(raw: Raw) -> None:
+            nonlocal most
+            for _ in range(3000):
+                live = [s for s in (*one.server.streams, *other.server.streams) if not s.ended()]
+                most = max(most, len(live))
+                loop.sleep(20_000)
+
+        one, other = Raw(loop, strange), Raw(loop, strange)
+        member = Member(loop, both(one, other))
+        loop.spawn(counting, one).join()
+        assert most == 1 and not open_now
+        assert member.watcher.counts.questions > 10
+
+    play(script)
+
+
+# Broken answers
+
+
+def test_a_reset_at_each_byte_of_an_answer_changes_nothing_wrong() -> None:
+    """A server cuts its answer after byte N, for each N; the next connection gets it whole."""
+    table = filled(2, size=40)
+    table.change(50, [Op("function/f00000", None), Op("function/new", b"x"), Op("tenant/a", b"y")])
+    page = owed(table, Question("", "", 0, 2, 0, 0, 0))
+    assert page is not None
+    whole = encode_response(Response(200, HEADERS, encode(page)))
+    start = filled(2, size=40)
+
+    def script(loop: Loop) -> None:
+        for cut in range(len(whole) + 1):
+            listener = Listener(loop, ("127.0.0.1", 0))
+            counts = [0]
+
+            def serve(listener: Listener = listener, cut: int = cut, counts: list[int] = counts) -> None:
+                while True:
+                    stream = listener.accept()
+                    counts[0] += 1
+                    loop.spawn(one, stream, cut if counts[0] == 1 else len(whole))
+
+            def one(stream: Stream, upto: int) -> None:
+                stream.recv()
+                stream.send_all(whole[:upto])
+                if upto < len(whole):
+                    stream.reset()
+                else:
+                    loop.sleep(3600 * SECOND)
+
+            accepting = loop.spawn(serve)
+            member = Member(loop, {"a": lambda address=listener.address: address})  # type: ignore[misc]
+            member.follower.table = copy(start)
+            member.follower.acting(2)
+            until(loop, lambda m=member: m.same(table))  # type: ignore[misc]
+            assert member.acted == [50] and counts[0] == 1 + (cut < len(whole)), cut
+            member.task.cancel()
+            accepting.cancel()
+            listener.close()
+
+    play(script)
+
+
+def test_an_answer_that_is_too_large_is_not_read_to_its_end() -> None:
+    def script(loop: Loop) -> None:
+        bad = Raw(loop, lambda question: Response(200, HEADERS, b"x" * (20 * BODY_MOST)))
+        good = Served(loop, filled(3))
+        members = [Member(loop, both(bad, good), name, n) for n, name in enumerate(homed("a", 6))]
+        until(loop, lambda: all(m.same(good.table) for m in members))
+        assert {m.watcher.counts.moves for m in members} == {1}
+        assert all(m.watcher.counts.bytes_in < 2 * BODY_MOST for m in members)
+
+    play(script)
+
+
+def test_a_slow_answer_is_waited_for_and_an_endless_one_is_not() -> None:
+    def script(loop: Loop) -> None:
+        table = filled(3)
+
+        def run(pause: int) -> tuple[Member, Listener]:
+            page = owed(table, Question("", "", 0, 0, 0, 0, 0))
+            assert page is not None
+            data = encode_response(Response(200, HEADERS, encode(page)))
+            listener = Listener(loop, ("127.0.0.1", 0))
+
+            def serve() -> None:
+                while True:
+                    stream = listener.accept()
+                    loop.spawn(one, stream)
+
+            def one(stream: Stream) -> None:
+                stream.recv()
+                with suppress(OSError):
+                    for at in range(0, len(data), 16):
+                        stream.send_all(data[at : at + 16])
+                        loop.sleep(pause)
+
+            loop.spawn(serve)
+            return Member(loop, {"a": lambda: listener.address}), listener
+
+        member, _ = run(SECOND // 10)
+        until(loop, lambda: member.same(table))
+        assert member.watcher.counts.moves == 0
+        member, _ = run(SECOND)
+        loop.sleep(60 * SECOND)
+        assert not member.same(table) and member.watcher.counts.moves >= 4
+
+    play(script)
+
+
+# A server that answers rubbish
+
+
+def _old(question: Question) -> Response:
+    """The same change set, whatever is asked."""
+    page = owed(filled(1), Question("", "", 0, 0, 0, 0, 0))
+    assert page is not None
+    return Response(200, HEADERS, encode(page))
+
+
+def _other_digest(question: Question) -> Response:
+    table = filled(3, size=21)
+    page = owed(table, replace(question, revision=3, digest=1))
+    assert page is not None
+    return Response(200, HEADERS, encode(page))
+
+
+def _growing(question: Question) -> Response:
+    """A whole state without end, one small entry at a time."""
+    after = question.after or ""
+    entry = Entry(after[:20] + "a" * (len(after) - len(after[:20]) + 1), b"", 1)
+    return Response(200, HEADERS, encode(Page(9, 9, 9, whole=True, entries=(entry,), after=after)))
+
+
+def _floors(question: Question) -> Response:
+    """A floor that passes the pages each time."""
+    _floors.count += 1  # type: ignore[attr-defined]
+    n: int = _floors.count  # type: ignore[attr-defined]
+    entry = Entry("a/b", b"", n)
+    return Response(
+        200, HEADERS, encode(Page(n, 9, n, whole=True, entries=(entry,), after=question.after or ""))
+    )
+
+
+_floors.count = 9  # type: ignore[attr-defined]
+
+
+def _false(question: Question) -> Response:
+    """A change set whose digest is not that of the table with it."""
+    after = question.revision
+    change = ChangeSet(after + 1, (Op("function/x", b"1"),), 77)
+    page = Page(after + 1, 77, 0, (change,), since=after)
+    return Response(200, HEADERS, encode(page))
+
+
+RUBBISH: dict[str, Callable[[Question], Response | None]] = {
+    "nothing at once": lambda q: Response(204, HEADERS),
+    "nothing without a head": lambda q: Response(204),
+    "an empty page": lambda q: Response(200, HEADERS, encode(Page(3, 0, 0))),
+    "an old page": _old,
+    "no page": lambda q: Response(200, HEADERS, b"<html>"),
+    "a page without a head": lambda q: Response(200, {}, encode(Page(3, 0, 0))),
+    "bad text": lambda q: Response(
+        200, HEADERS, encode(Page(3, 0, 0, after="\x01x")).replace(b"\x01x", b"\xffx")
+    ),
+    "nested": lambda q: Response(200, HEADERS, b"\xdc\0\x20" + encode(Page(3, 0, 0))[1:] + b"\x91" * 99_999),
+    "another digest": _other_digest,
+    "a state without end": _growing,
+    "a floor that runs away": _floors,
+    "false change sets": _false,
+    "its end": lambda q: None,
+    "busy": lambda q: Response(503),
+}
+
+
+@pytest.mark.parametrize("name", RUBBISH)
+def test_nobody_spins_at_a_server_that_answers_rubbish(name: str) -> None:
+    def script(loop: Loop) -> None:
+        bad = Raw(loop, RUBBISH[name])
+        member = Member(loop, {"a": where(bad)})
+        member.follower.table = filled(3)
+        loop.sleep(60 * SECOND)
+        assert 5 < len(bad.questions) < 60 * 25, len(bad.questions)
+        assert not member.task.done and len(member.log.lines) < 60 * 6
+        assert all(n >= 3 for n in member.acted)
+
+    play(script)
+
+
+# Whole states
+
+
+def test_a_whole_state_is_paced() -> None:
+    def script(loop: Loop) -> None:
+        table = large(3000)  # some 700 KB
+        served = Served(loop, table)
+        member = Member(loop, {"a": where(served)})
+        began, counts = loop.now(), member.watcher.counts
+        while not member.same(table):
+            passed = loop.now() - began
+            assert counts.bytes_in <= BURST + RATE * passed // SECOND + 2 * 65_536, (counts, passed)
+            assert passed < 120 * SECOND
+            loop.sleep(50_000)
+        assert counts.bytes_in > 600_000
+        took = loop.now() - began
+        assert took > (counts.bytes_in - BURST - 2 * 65_536) * SECOND // RATE
+        # What is held at last is one state, put in place once.
+        assert member.acted == [table.revision]
+
+    play(script)
+
+
+def test_the_burst_is_given_once() -> None:
+    def script(loop: Loop) -> None:
+        member = Member(loop, {"a": lambda: ("127.0.0.1", 1)})
+        member.task.cancel()
+        debt = member.watcher._debt
+        debt.received(loop.now(), BURST)
+        assert debt.wait(loop.now()) == 0
+        debt.received(loop.now(), RATE)
+        assert debt.wait(loop.now()) == SECOND
+        loop.sleep(60 * SECOND)  # an idle minute saves nothing up
+        debt.received(loop.now(), RATE)
+        assert debt.wait(loop.now()) == SECOND
+
+    play(script)
+
+
+def test_a_change_set_is_acknowledged_at_once_whatever_is_owed() -> None:
+    def script(loop: Loop) -> None:
+        served = Served(loop, filled(3))
+        member = Member(loop, {"a": where(served)})
+        until(loop, lambda: served.watch.held)
+        for n in range(5):  # much more than 22 KB/s
+            changed = loop.now()
+            revision = served.change(ops(n * 100, 100, 1000))
+            until(loop, lambda r=revision: served.questions[-1].in_force == r)  # type: ignore[misc]
+            assert loop.now() - changed < SECOND
+        assert member.same(served.table)
+
+    play(script)
+
+
+def test_who_was_away_for_long_catches_up_at_its_pace() -> None:
+    def script(loop: Loop) -> None:
+        table = filled(3)
+        served = Served(loop, copy(table))
+        for n in range(100):
+            served.change(ops(n * 10, 10, 600))
+        member = Member(loop, {"a": where(served)})
+        member.follower.table = table
+        began, counts = loop.now(), member.watcher.counts
+        while not member.same(served.table):
+            passed = loop.now() - began
+            assert counts.bytes_in <= BURST + RATE * passed // SECOND + 2 * 65_536, (counts, passed)
+            assert passed < 120 * SECOND
+            loop.sleep(50_000)
+        assert not [q for q in served.questions if q.after is not None]
+        assert counts.bytes_in > 600_000
+
+    play(script)
+
+
+@pytest.mark.parametrize("changing", [False, True])
+def test_moved_in_the_middle_of_a_whole_state_it_ends_with_the_same_table(changing: bool) -> None:
+    """Two relays, and each is cut off in turn while the state's pages come, with changes meanwhile."""
+
+    def script(loop: Loop) -> None:
+        table = large(2000)
+        a, b = Served(loop, table), Served(loop, copy(table))
+        places = {"a": a.address, "b": b.address}
+        member = Member(loop, {"a": lambda: places["a"], "b": lambda: places["b"]})
+        pages = 0
+        for n in range(200):
+            before = member.watcher.counts.questions
+            until(loop, lambda k=before: member.watcher.counts.questions > k)  # type: ignore[misc]
+            if member.table.revision:
+                break
+            pages += 1
+            if changing:
+                for served in (a, b):
+                    served.change(
+                        [Op(f"function/f{2 * n:05}", None), *ops(2 * n + 1, salt=n), *ops(1999 - 2 * n)]
+                    )
+            here = member.watcher.server
+            for stream in list((a if here == "a" else b).server.streams):
+                stream.reset()
+        until(loop, lambda: member.same(a.table))
+        loop.sleep(10 * SECOND)
+        assert member.same(a.table) and member.same(b.table) and pages > 5
+        assert member.table.recount() == a.table.recount() if a.table else False
+        assert member.watcher.counts.moves > 5
+        asked = [q.after for q in (*a.questions, *b.questions) if q.after is not None]
+        assert len(set(asked)) > 5 and {q.member for q in a.questions} == {q.member for q in b.questions}
+        # Resumed by key at the other one: the first key is asked for but a few times.
+        assert asked.count("") <= 4
+
+    play(script)
+
+
+def test_a_flipped_entry_is_found_at_the_next_change_and_mended() -> None:
+    def script(loop: Loop) -> None:
+        table = large(500)
+        served = Served(loop, table)
+        member = Member(loop, {"a": where(served)})
+        until(loop, lambda: member.same(table))
+        loop.sleep(10 * SECOND)
+        held = member.follower.table
+        entry = held.entries["function/f00077"]
+        held.entries = held.entries.set(entry.key, Entry(entry.key, b"flipped", entry.revision))
+        served.change(ops(3))
+        until(loop, lambda: any(t.repaired == ("function/f00077",) for t in member.taken))
+        until(loop, lambda: member.same(table))
+        assert member.table.entries == table.entries
+        assert member.log.count("table") >= 1
+        assert not [q for q in served.questions[5:] if q.after is not None]
+
+    play(script)
+
+
+# Age and lateness
+
+
+def test_the_age_grows_while_upstream_is_silent() -> None:
+    """A chain: what a relay passes on is as old as what it was told, and older with each moment since."""
+
+    def script(loop: Loop) -> None:
+        vouched = loop.now()
+        keeper = Served(loop, filled(3), lambda: loop.now() - vouched)
+        upstream = Member(loop, {"k": where(keeper)})
+        relay = Served(loop, None, upstream.watcher.age)
+        assert Asker(loop, relay).ask(0, hold=0).status == 503  # nothing whole is held yet
+        until(loop, lambda: upstream.watcher.complete)
+        relay.table = upstream.table
+        asker = Asker(loop, relay)
+
+        def age() -> int:
+            return int(asker.ask(3, upstream.table.digest, hold=0).headers[AGE_HEADER.lower()])
+
+        assert loop.now() - vouched <= age() + SECOND
+        vouched = loop.now()
+        loop.sleep(2 * HOLD)
+        first = age()
+        assert first <= loop.now() - vouched + SECOND
+        keeper.end()
+        cut = loop.now()
+        loop.sleep(60 * SECOND)
+        assert age() >= 60 * SECOND and age() >= loop.now() - cut
+        assert not asker.ask(3, upstream.table.digest, hold=HOLD).page
+
+    play(script)
+
+
+def test_an_answer_that_lay_on_its_way_is_as_old_as_that() -> None:
+    def script(loop: Loop) -> None:
+        member: Member | None = None
+
+        def late(question: Question) -> Response:
+            if question.hold:
+                loop.sleep(SECOND)
+                loop.clock.jump(loop.now() + SECOND)  # both stood still, with the answer on its way
+            return Response(204, {AGE_HEADER: "5", HELD_HEADER: str(SECOND if question.hold else 0)})
+
+        raw = Raw(loop, late)
+        member = Member(loop, {"a": where(raw)})
+        until(loop, lambda: raw.questions and raw.questions[-1].hold)
+        loop.sleep(1_500_000)
+        assert member.watcher.complete
+        assert member.watcher.age() >= SECOND
+
+    play(script)
+
+
+def test_a_server_that_is_behind_vouches_for_nothing() -> None:
+    def script(loop: Loop) -> None:
+        served = Served(loop, filled(3))
+        member = Member(loop, {"a": where(served)})
+        member.follower.table = filled(5)
+        loop.sleep(20 * SECOND)
+        assert not member.watcher.complete and member.log.count("control not heard for 9 s") == 1
+        assert member.table.revision == 5 and not member.taken
+
+    play(script)
+
+
+def test_lateness_is_told_once_and_its_end_once() -> None:
+    def script(loop: Loop) -> None:
+        served = Served(loop, filled(3))
+        places = [served.address]
+        member = Member(loop, {"a": lambda: places[0], "b": lambda: places[0]})
+        until(loop, lambda: member.same(served.table))
+        loop.sleep(60 * SECOND)
+        assert not member.log.count("control not heard for 9 s")
+        for times in (1, 2):
+            served.watch.held_most = 0  # type: ignore[attr-defined]
+            places[0] = ("127.0.0.1", 1)
+            for stream in list(served.server.streams):
+                stream.reset()
+            loop.sleep(60 * SECOND)
+            told = [f for line, f in member.log.lines if line == "control not heard for 9 s"]
+            assert len(told) == times and told[-1]["acting_on"] == 3
+            assert member.log.count("control heard again") == times - 1
+            assert member.log.count("watch lost") == times
+            places[0] = served.address
+            until(loop, lambda: served.watch.held)
+            loop.sleep(SECOND)
+            assert member.log.count("control heard again") == times
+
+    play(script)
+
+
+def test_after_a_long_outage_all_come_back_spread_out_and_in_time() -> None:
+    def script(loop: Loop) -> None:
+        served = Served(loop, filled(3))
+        places = [("127.0.0.1", 1)]
+        members = [Member(loop, {"a": lambda: places[0]}, f"fe{n}", n) for n in range(50)]
+        loop.sleep(60 * SECOND)
+        assert sum(m.watcher.counts.moves for m in members) < 50 * 60 * 4
+        places[0] = served.address
+        began = loop.now()
+        first: dict[int, int] = {}
+        while not all(m.same(served.table) for m in members):
+            first[loop.now()] = served.watch.counts.answered
+            assert loop.now() - began < 4 * SECOND
+            loop.sleep(100_000)
+        steps = list(first.values())
+        assert max(b - a for a, b in pairwise(steps)) < 25
+
+    play(script)
+
+
+# The end
+
+
+def test_stop_says_that_it_leaves_and_ends() -> None:
+    def script(loop: Loop) -> None:
+        served = Served(loop, filled(3))
+        member = Member(loop, {"a": where(served)})
+        until(loop, lambda: served.watch.held)
+        member.watcher.stop()
+        assert served.questions[-1].leaving and served.questions[-1].in_force == 3
+        asked = len(served.questions)
+        until(loop, lambda: not served.server.streams)
+        loop.sleep(10 * HOLD)
+        assert member.task.done and len(served.questions) == asked and not served.watch.held
+
+    play(script)
+
+
+def test_stop_is_bounded_where_nobody_answers() -> None:
+    def script(loop: Loop) -> None:
+        def silent(question: Question) -> None:
+            loop.sleep(3600 * SECOND)
+
+        for address in (Raw(loop, silent).address, ("127.0.0.1", 1)):
+            member = Member(loop, {"a": lambda a=address: a})  # type: ignore[misc]
+            loop.sleep(SECOND)
+            began = loop.now()
+            member.watcher.stop()
+            assert loop.now() - began <= SECOND
+            loop.sleep(SECOND)
+            assert member.task.done
+
+    play(script)
--- a/packages/watch/tests/watch_rig.py
+++ b/packages/watch/tests/watch_rig.py
@@ -2,15 +2,28 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from random import Random
 from typing import Any
 
 from walnutpost.http import BadMessage, Connection, Exchange, Response, Server, encode_request
 from walnutpost.http.server import serve_on
 from walnutpost.loop import Loop, VirtualClock
-from walnutpost.table import WATCH, Entry, Op, Page, Question, Table, decode, encode
-from walnutpost.watch import WatchServer
+from walnutpost.table import (
+    WATCH,
+    Entry,
+    Follower,
+    Op,
+    Page,
+    Question,
+    Table,
+    Taken,
+    decode,
+    encode,
+)
+from walnutpost.table.choice import Choice
+from walnutpost.watch import Watcher, WatchServer
 
 SECOND = 1_000_000
 HOLD = 3 * SECOND
@@ -110,3 +123,66 @@
     while not condition():
         assert loop.now() < end, "it never came to that"
         loop.sleep(step)
+
+
+class Log:
+    """What was logged, in order."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, dict[str, Any]]] = []
+
+    def info(self, event: str, **fields: Any) -> None:
+        self.lines.append((event, fields))
+
+    warning = error = info
+
+    def count(self, event: str) -> int:
+        return sum(line == event for line, _ in self.lines)
+
+
+class Member:
+    """A follower with its watcher, acting on what it has at once, as a front end does."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        servers: Mapping[str, Callable[[], tuple[str, int]]],
+        name: str = "fe1",
+        seed: int = 1,
+        follower: Follower | None = None,
+        **more: Any,
+    ) -> None:
+        self.loop, self.log = loop, Log()
+        self.follower = follower or Follower(name, "1", loop.now())
+        self.choice = Choice(name, dict.fromkeys(servers, "r"), "r", Random(seed))
+        self.taken: list[Taken] = []
+        self.acted: list[int] = []  # revisions, in order
+        self.watcher = Watcher(loop, servers, self.follower, self.choice, self.take, self.log, **more)
+        self.task = loop.spawn(self.watcher.run, name="watch")
+
+    @property
+    def table(self) -> Table:
+        return self.follower.table
+
+    def take(self, taken: Taken) -> None:
+        self.taken.append(taken)
+        self.acted.append(self.table.revision)
+        self.follower.acting(self.table.revision)
+
+    def same(self, table: Table | None) -> bool:
+        held = self.table
+        return table is not None and (held.revision, held.digest) == (table.revision, table.digest)
+
+
+class Raw:
+    """A server that answers each question as it is told; None ends the connection."""
+
+    def __init__(self, loop: Loop, answer: Callable[[Question], Response | None]) -> None:
+        self.questions: list[Question] = []
+
+        def handle(exchange: Exchange) -> Response | None:
+            self.questions.append(decode(exchange.request.body, Question))
+            return answer(self.questions[-1])
+
+        self.server = serve_on(loop, ("127.0.0.1", 0), handle, refusal)
+        self.address = self.server.address
