config: too large a file is told before its changes are shown; tables with their words in line

Cause: by hand on 38,000 functions, a refused file first showed all of them; keys stood to the right of a wide gap; times were told where nobody follows.

--- a/packages/cli/src/walnutpost/cli/settings.py
+++ b/packages/cli/src/walnutpost/cli/settings.py
@@ -26,6 +26,9 @@
 REST = click.argument("rest", nargs=-1, metavar="[FILE | FIELD=VALUE...]")
 
 
+SHOWN_MOST = 50  # changes of one file
+
+
 @click.group("config")
 def config_group() -> None:
     """The settings that a fleet agrees on and takes up while it runs: change them, see who acts on them.
@@ -128,21 +131,29 @@
         if not ops:
             click.echo(f"nothing to change: revision {revision} has it so")
             return
-        for line in changes_of(held, ops):
+        if not in_parts:
+            _fits(ops, rest[0] if name is None else name)
+        for line in changes_of(held, ops[:SHOWN_MOST]):
             click.echo(in_words(*line))
-        _agree(client, known, rest[0] if name is None else name, ops, dry, in_parts, operator)
+        if len(ops) > SHOWN_MOST:
+            click.echo(f"and {len(ops) - SHOWN_MOST} more, as `config diff` shows them")
+        _agree(client, known, ops, dry, in_parts, operator)
 
     with_keepers(config, log, work)
 
 
+def _fits(ops: tuple[Op, ...], source: str) -> None:
+    wrong = check_change(ops)
+    parts = len(parts_of(ops)) if wrong else 1
+    more = f"; --in-parts makes {parts} change sets of it, each in force by itself" if parts > 1 else ""
+    if wrong:
+        raise Stop(*(f"{source}: {line}{more}" for line in wrong), code=2)
+
+
 def _agree(
-    client: KeeperClient, id: str, source: str, ops: tuple[Op, ...], dry: bool, in_parts: bool, operator: str
+    client: KeeperClient, id: str, ops: tuple[Op, ...], dry: bool, in_parts: bool, operator: str
 ) -> None:
-    too_much = check_change(ops)
     parts = parts_of(ops) if in_parts else [ops]
-    if too_much and not in_parts:
-        more = f"; --in-parts makes {len(parts_of(ops))} change sets of it, each in force by itself"
-        raise Stop(*(f"{source}: {line}{more}" for line in too_much), code=2)
     if len(parts) > 1:
         click.echo(f"not one change set but {len(parts)}: each is in force by itself", err=True)
     for number, part in enumerate(parts, 1):
--- a/packages/cli/src/walnutpost/cli/settings_shown.py
+++ b/packages/cli/src/walnutpost/cli/settings_shown.py
@@ -6,7 +6,7 @@
 import re
 import sys
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -20,9 +20,9 @@
 from walnutpost.keeper.wire import Line
 from walnutpost.loop import Loop
 from walnutpost.table import Entry, MemberStatus, Status
-from walnutpost.trials.table import aligned
 
 LOOK_EVERY = 250_000
+TIMES_SHOWN = 10
 WINDOW = 1000  # lines of the history that are asked for at a time
 SECTIONS = ((CLASS, "classes"), (FUNCTION, "functions"), (TENANT, "tenants"))
 CHANGE = re.compile(r"ops=(?P<keys>.*?)(, base=\d+)?(, operator=(?P<operator>.*))?")
@@ -54,7 +54,7 @@
     else:
         rows = [[e.key, str(e.revision), e.value.decode()] for e in found]
         click.echo(
-            aligned([["key", "since revision", "settings"], *rows]) if rows else "nothing is agreed on"
+            columns([["key", "since revision", "settings"], *rows]) if rows else "nothing is agreed on"
         )
 
 
@@ -103,9 +103,9 @@
         return
     if first > after + 1 and len(told) < most:
         click.echo(f"entries before {first} are not kept by {keeper} any more", err=True)
-    heads = ("revision", "asked at", "operator", "keys", "in force")
+    heads = ("revision", "asked at", "operator", "agreed on", "keys")
     rows = [[str(c[head]) for head in heads] for c in told]
-    click.echo(aligned([list(heads), *rows]) if rows else "no changes")
+    click.echo(columns([list(heads), *rows]) if rows else "no changes")
 
 
 def _changes(client: KeeperClient, after: int, most: int) -> tuple[str, int, list[Line]]:
@@ -140,19 +140,27 @@
         "asked at": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(line.at)) if line.at else "",
         "operator": (told["operator"] or "") if told else "",
         "keys": told["keys"] if told else line.told,
-        "in force": entered,
+        "agreed on": entered,
     }
 
 
 @config_group.command()
 @CONFIG
-@click.option("--wait", "wanted", type=int, help="Until all members act on this revision; exits 1 if not.")
+@click.option(
+    "--wait",
+    "wanted",
+    type=int,
+    is_flag=False,
+    flag_value=0,
+    metavar="[REVISION]",
+    help="Until all members act on it, or on the newest; exits 1 where they don't in time.",
+)
 @click.option("--within", default=30.0, show_default=True, help="Seconds to wait at the most.")
 @FORM
 @click.pass_obj
 def status(log: Any, config: Path, wanted: int | None, within: float, form: str) -> None:
     """Which revision is agreed on and who acts on it: by name who lacks it, and why; relays; last changes."""
-    told = with_loop(config, log, lambda loop, client: _status(loop, client, wanted, within))
+    told, wanted = with_loop(config, log, lambda loop, client: _status(loop, client, wanted, within))
     if form == "json":
         click.echo(json.dumps(_as_dict(told)))
     else:
@@ -171,13 +179,17 @@
     return told.members > 0 and told.lowest >= revision
 
 
-def _status(loop: Loop, client: KeeperClient, wanted: int | None, within: float) -> Status:
+def _status(loop: Loop, client: KeeperClient, wanted: int | None, within: float) -> tuple[Status, int | None]:
+    """The status, and the revision that was waited for: for 0 that which is newest now."""
+    told = client.status()
+    revision = told.revision if wanted == 0 else wanted
     until = time.monotonic() + within
-    while True:
-        told = client.status()
-        if wanted is None or _in_force(told, wanted) or wanted > told.revision or time.monotonic() >= until:
-            return told
+    while revision is not None and not _in_force(told, revision):
+        if revision > told.revision or time.monotonic() >= until:
+            break
         loop.sleep(LOOK_EVERY)
+        told = client.status()
+    return told, revision
 
 
 def _as_dict(told: Status) -> dict[str, Any]:
@@ -234,20 +246,27 @@
             f"revision {told.revision}"
         )
         rows = [[m.member, str(m.in_force), _why(m), m.relay or "-", _ago(m.heard)] for m in told.lacking]
-        lines.append(aligned([["lacks it", "acts on", "why", "relay", "heard of"], *rows]))
+        lines.append(columns([["lacks it", "acts on", "why", "relay", "heard of"], *rows]))
         if told.lacks > len(told.lacking):
             lines.append(f"and {told.lacks - len(told.lacking)} more")
     relays = [[name, str(rev), str(members), _ago(ago)] for name, rev, members, ago in told.relays]
     lines.append(
-        aligned([["relay", "holds", "members", "heard of"], *relays]) if relays else "no relay reports"
+        columns([["relay", "holds", "members", "heard of"], *relays]) if relays else "no relay reports"
     )
     if told.timed:
         rows = [
             [str(t.revision), "not yet" if t.took is None else f"{t.took / 1e6:.3f} s"] for t in told.timed
         ]
-        lines.append(aligned([["revision", "everywhere after"], *rows]))
+        lines.append(columns([["revision", "everywhere after"], *rows]))
     return lines
 
 
 def _ago(us: int | None) -> str:
     return "never" if us is None else f"{us / 1e6:.1f} s ago"
+
+
+def columns(rows: Sequence[Sequence[str]]) -> str:
+    """Texts of any length side by side, the last as long as it is."""
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    lines = ("  ".join(t.ljust(w) for t, w in zip(row, widths, strict=True)).rstrip() for row in rows)
+    return "\n".join(lines)
--- a/packages/cli/tests/test_settings.py
+++ b/packages/cli/tests/test_settings.py
@@ -195,8 +195,10 @@
     assert refused.exit_code == 2 and agreed.revision == before
     says = f"{file}: change set: found {OPS_MOST + 500} keys, wanted 1 to {OPS_MOST}; --in-parts makes 2 "
     assert any(line.startswith(says) for line in refused.stderr.splitlines()), refused.stderr
+    assert not refused.stdout  # what is refused as a whole is not shown line by line
     done = agreed("set", file, "--in-parts", "--id", "again")
     assert done.exit_code == 0
+    assert "and 1450 more, as `config diff` shows them" in done.stdout
     assert "not one change set but 2: each is in force by itself" in done.stderr
     assert "part 1 of 2: agreed on as revision" in done.stdout and "part 2 of 2: agreed on as" in done.stdout
     assert agreed("diff", file).exit_code == 0
@@ -220,7 +222,7 @@
     agreed("set", "--function", "price", "lanes=4", "--operator", "ben")
     agreed("set", "--function", "reserve", "--delete", "--operator", "")
     told = json.loads(agreed("history", "--format", "json").stdout)
-    assert [(c["operator"], c["in force"]) for c in told["changes"]] == [
+    assert [(c["operator"], c["agreed on"]) for c in told["changes"]] == [
         *(("anna", "yes"), ("ben", "yes"), ("", "yes"))
     ]
     assert [c["keys"] for c in told["changes"][1:]] == ["function/price", "function/reserve (deleted)"]
