--- a/packages/keeper/tests/test_keeper.py
+++ b/packages/keeper/tests/test_keeper.py
@@ -25,7 +25,9 @@
 
 
 class Keepers:
-    """Three keeper processes; each reaches each other one through a relay of its own."""
+    """Three processes of `program`, keepers; each reaches each other one through a relay of its own."""
+
+    program: tuple[str, ...] = ("-m", "walnutpost.cli")
 
     def __init__(self, loop: Loop, folder: Path) -> None:
         self.loop, self.folder = loop, folder
@@ -45,7 +47,7 @@
         config = self.folder / f"{name}.json"
         config.write_text(json.dumps({"keepers": lines, **TIMES}))
         with self._log(name).open("wb") as out:
-            command = [sys.executable, "-m", "walnutpost.cli", "--log", "json", "keeper", str(config)]
+            command = [sys.executable, *self.program, "--log", "json", "keeper", str(config)]
             self.running[name] = subprocess.Popen(
                 [*command, "--name", name, *options], stdout=out, stderr=out
             )
@@ -106,11 +108,11 @@
             self.kill(name)
 
 
-def play(folder: Path, script: Callable[[Keepers], None]) -> None:
+def play(folder: Path, script: Callable[[Keepers], None], kind: type[Keepers] = Keepers) -> None:
     loop, held = Loop(), list[Keepers]()
 
     def body() -> None:
-        held.append(Keepers(loop, folder))
+        held.append(kind(loop, folder))
         script(held[0])
 
     try:
