relay: the process between keepers and members

A Relay watches any keeper, holds the table once without a disk, answers its members' watches, and tells the leader their sums: at most every 250 ms where there is news, every 2 s at rest. It answers only once it holds a whole table (503 before), holds the question of a member that is ahead of it, and passes on how old its own word is. A member whose connection ends leaves the sums at once. Figures every 10 s.

--- /dev/null
+++ b/packages/relay/tests/test_relay.py
@@ -0,0 +1,464 @@
+"""Relays between keepers and members on one loop: changes down, sums up, and either end lost."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from itertools import pairwise
+from typing import Any
+
+from walnutpost.agreement import NOT_LEADER
+from walnutpost.http import Connection, Exchange, Response
+from walnutpost.http.server import serve_on
+from walnutpost.keeper import wire
+from walnutpost.loop import Loop
+from walnutpost.relay import Relay
+from walnutpost.table import (
+    AGE_HEADER,
+    SUMS,
+    WATCH,
+    Op,
+    Question,
+    Status,
+    Sums,
+    Table,
+    decode,
+    encode,
+)
+from walnutpost.table.roster import Standings
+from walnutpost.watch import WatchServer
+from watch_rig import HOLD, SECOND, Asker, Log, Member, copy, filled, large, ops, play, refusal, until
+
+Address = tuple[str, int]
+
+
+class Keepers:
+    """Keepers as relays see them: each with its table, one that leads and takes the sums."""
+
+    def __init__(self, loop: Loop, table: Table, names: tuple[str, ...] = ("k1", "k2", "k3")) -> None:
+        self.loop, self.leader = loop, names[0]
+        self.tables = {name: copy(table) for name in names}
+        self.vouched = dict.fromkeys(names, loop.now())
+        self.alive = True
+        self.asked: list[Question] = []
+        self.sums: list[tuple[int, Sums]] = []
+        self.followers: dict[str, str] = {}
+        self.standings = Standings(loop.now(), table.revision)
+        self.watches = {name: self._watch(name) for name in names}
+        self.servers = {
+            name: serve_on(loop, ("127.0.0.1", 0), lambda e, name=name: self._serve(name, e), refusal)  # type: ignore[misc]
+            for name in names
+        }
+        loop.every(SECOND // 2, self._look)
+
+    def _watch(self, name: str) -> WatchServer:
+        age = lambda: self.loop.now() - self.vouched[name]  # noqa: E731
+        return WatchServer(self.loop, lambda: self.tables[name], age, gather_us=0)
+
+    @property
+    def addresses(self) -> dict[str, Address]:
+        return {name: server.address for name, server in self.servers.items()}
+
+    @property
+    def table(self) -> Table:
+        return self.tables[self.leader]
+
+    def _look(self) -> None:
+        """What a leader agrees with the others on."""
+        if self.alive:
+            self.vouched = dict.fromkeys(self.vouched, self.loop.now())
+            self.followers |= self.standings.unknown(self.loop.now())
+            for member in self.standings.ended():
+                self.followers.pop(member, None)
+            self.standings.agree(self.loop.now(), self.followers)
+
+    def _serve(self, name: str, exchange: Exchange) -> Response:
+        body = exchange.request.body
+        match exchange.request.target.decode():
+            case target if target == WATCH:
+                self.asked.append(decode(body, Question))
+                return self.watches[name].answer(body, exchange.stream)
+            case target if target == SUMS:
+                if name != self.leader:
+                    return Response(421, body=wire.encode(wire.Told(None, True, NOT_LEADER, self.leader)))
+                self.sums.append((self.loop.now(), decode(body, Sums)))
+                return Response(200, body=encode(self.standings.take(self.loop.now(), self.sums[-1][1])))
+        return Response(404)
+
+    def change(self, wanted: list[Op]) -> int:
+        revision = self.table.revision + 1
+        for name, table in self.tables.items():
+            table.change(revision, wanted)
+            self.watches[name].changed()
+        self.standings.agreed(self.loop.now(), revision)
+        return revision
+
+    def elect(self, leader: str) -> None:
+        """A new office knows nothing but what is agreed."""
+        self.leader = leader
+        self.standings = Standings(self.loop.now(), self.table.revision)
+        self.standings.agree(self.loop.now(), self.followers)
+
+    def status(self) -> Status:
+        return self.standings.status(self.loop.now(), self.table, self.followers)
+
+    def end(self) -> None:
+        for server in self.servers.values():
+            server.stop_accepting()
+            for stream in list(server.streams):
+                stream.reset()
+
+
+class Tier:
+    """Relays by name, and members that know all of them."""
+
+    def __init__(self, loop: Loop, keepers: Keepers, names: tuple[str, ...] = ("r1", "r2")) -> None:
+        self.loop, self.keepers = loop, keepers
+        self.relays: dict[str, Relay] = {}
+        self.logs: dict[str, Log] = {}
+        self.places: dict[str, Address] = {}
+        self.members: list[Member] = []
+        self.starts = 0
+        self.names = names
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str) -> Relay:
+        self.starts += 1
+        self.logs[name] = Log()
+        listen = ("127.0.0.1", 0)
+        relay = Relay(self.loop, name, self.keepers.addresses, listen, self.logs[name], self.starts)
+        self.relays[name], self.places[name] = relay, relay.address
+        return relay
+
+    def kill(self, name: str) -> None:
+        """As SIGKILL does: nothing is said to anyone."""
+        relay = self.relays.pop(name)
+        relay.watcher.stop()
+        relay.stop()
+        self.places[name] = ("127.0.0.1", 1)
+
+    def join(self, count: int, table: Table | None = None) -> list[Member]:
+        """`table`: what they hold and act on already, as front ends that were there before."""
+        places: dict[str, Callable[[], Address]] = {n: lambda n=n: self.places[n] for n in self.names}  # type: ignore[misc]
+        for n in range(len(self.members), len(self.members) + count):
+            member = Member(self.loop, places, f"fe{n}", n)
+            if table is not None:
+                member.follower.table = Table.restore(table.snapshot(), 0, 0)
+                member.follower.acting(table.revision)
+            self.members.append(member)
+        return self.members[-count:]
+
+    def in_force(self) -> bool:
+        """Everywhere, and the leader can say so."""
+        table = self.keepers.table
+        there = all(m.same(table) and m.follower.in_force == table.revision for m in self.members)
+        status = self.keepers.status()
+        return there and status.members == len(self.members) and status.lowest == table.revision
+
+    def counts(self, field: str) -> int:
+        return sum(getattr(r.watches.counts, field) for r in self.relays.values())
+
+
+def playing(script: Callable[[Keepers, Tier], Any], count: int = 10, table: Table | None = None) -> None:
+    def main(loop: Loop) -> None:
+        keepers = Keepers(loop, table if table is not None else filled(3))
+        tier = Tier(loop, keepers)
+        tier.join(count)
+        until(loop, tier.in_force)
+        script(keepers, tier)
+
+    play(main)
+
+
+def test_a_change_is_in_force_everywhere_and_the_leader_can_say_so() -> None:
+    def script(keepers: Keepers, tier: Tier) -> None:
+        loop = keepers.loop
+        assert sorted(len(relay.roster) for relay in tier.relays.values())[0] > 0
+        for n in range(5):
+            loop.sleep(SECOND)
+            encoded, changed = tier.counts("encoded"), loop.now()
+            revision = keepers.change(ops(n, 3))
+            until(loop, tier.in_force)
+            assert loop.now() - changed < 3 * SECOND
+            assert tier.counts("encoded") - encoded == len(tier.relays)  # once at each, for all its members
+            assert dict((t.revision, t.took) for t in keepers.status().timed)[revision] is not None
+        assert not keepers.status().lacking
+
+    playing(script, 40)
+
+
+def test_what_the_leader_is_asked_does_not_grow_with_the_members() -> None:
+    """The same changes, ten and eighty members: as many questions and reports."""
+    counts: list[tuple[int, int, int]] = []
+
+    def script(keepers: Keepers, tier: Tier) -> None:
+        keepers.loop.sleep(5 * SECOND)
+        asked, told = len(keepers.asked), len(keepers.sums)
+        for n in range(10):
+            keepers.change(ops(n, 3))
+            until(keepers.loop, tier.in_force)
+            keepers.loop.sleep(3 * SECOND)
+        size = max(len(encode(sums)) for _, sums in keepers.sums[told:])
+        counts.append((len(keepers.asked) - asked, len(keepers.sums) - told, size))
+
+    for count in (10, 80):
+        playing(script, count)
+    (few_asked, few_told, few_size), (asked, told, size) = counts
+    assert asked <= few_asked + 4 and told <= few_told + 20 and size <= few_size + 200, counts
+
+
+def test_reports_are_paced_and_rest() -> None:
+    def script(keepers: Keepers, tier: Tier) -> None:
+        loop = keepers.loop
+        loop.sleep(5 * SECOND)
+        told, began = len(keepers.sums), loop.now()
+        loop.sleep(20 * SECOND)
+        rest = len(keepers.sums) - told
+        assert 16 <= rest <= 22  # two relays, one in two seconds each
+        told, began = len(keepers.sums), loop.now()
+        for n in range(100):
+            keepers.change(ops(n))
+            loop.sleep(SECOND // 10)
+        until(loop, tier.in_force)
+        passed = loop.now() - began
+        by = [at for at, sums in keepers.sums[told:] if sums.relay == "r1"]
+        assert len(by) <= passed // (SECOND // 4) + 1
+        assert min(b - a for a, b in pairwise(by)) >= SECOND // 4 - 10_000
+
+    playing(script)
+
+
+def test_a_killed_relay_s_members_go_on_at_the_other_with_no_whole_state() -> None:
+    def script(keepers: Keepers, tier: Tier) -> None:
+        loop = keepers.loop
+        before = [(m.watcher.server, m.watcher.counts.moves) for m in tier.members]
+        whole = sum(t.whole for m in tier.members for t in m.taken)
+        tier.kill("r1")
+        killed = loop.now()
+        for n in range(10):
+            keepers.change(ops(n))
+            loop.sleep(SECOND // 5)
+        until(loop, tier.in_force)
+        assert loop.now() - killed < 9 * SECOND
+        assert {m.watcher.server for m in tier.members} == {"r2"}
+        assert sum(t.whole for m in tier.members for t in m.taken) == whole
+        for member, (server, moves) in zip(tier.members, before, strict=True):
+            assert member.watcher.counts.moves - moves == (server == "r1")
+        assert not any(m.log.count("control not heard for 9 s") for m in tier.members)
+        assert all(m.acted == sorted(set(m.acted)) for m in tier.members)
+        assert {server for server, _ in before} == {"r1", "r2"}
+        tier.start("r1")
+        loop.sleep(130 * SECOND)  # and back home
+        assert all(m.watcher.server == m.choice._order[0] for m in tier.members)
+        assert tier.in_force()
+
+    playing(script, 30, large(300))
+
+
+def test_all_relays_restarted_send_no_whole_state_to_those_behind() -> None:
+    """Keepers went on meanwhile: the members are below the revision that the new relays start from."""
+
+    def script(keepers: Keepers, tier: Tier) -> None:
+        loop = keepers.loop
+        for name in tier.names:
+            tier.kill(name)
+        whole = sum(t.whole for m in tier.members for t in m.taken)
+        for n in range(20):
+            keepers.change(ops(n))
+        loop.sleep(20 * SECOND)
+        assert all(m.log.count("control not heard for 9 s") == 1 for m in tier.members)
+        assert all(m.follower.in_force == keepers.table.revision - 20 for m in tier.members)
+        for name in tier.names:
+            tier.start(name)
+        began = loop.now()
+        until(loop, tier.in_force)
+        assert loop.now() - began < 9 * SECOND
+        assert sum(t.whole for m in tier.members for t in m.taken) == whole
+        loop.sleep(SECOND)
+        assert all(m.log.count("control heard again") == 1 for m in tier.members)
+
+    playing(script, 20, filled(30))
+
+
+def test_a_relay_answers_only_once_it_holds_a_whole_table() -> None:
+    def main(loop: Loop) -> None:
+        keepers = Keepers(loop, large(3000))
+        addresses, keepers.leader = keepers.addresses, "k2"
+        hidden = dict.fromkeys(addresses, ("127.0.0.1", 1))
+        relay = Relay(loop, "r1", hidden, ("127.0.0.1", 0), Log(), 1)
+        loop.sleep(5 * SECOND)
+        answer = Asker(loop, relay, "fe1").ask(0)
+        assert answer.status == 503 and answer.headers["retry-after"]
+        relay.stop()
+        relay = Relay(loop, "r1", addresses, ("127.0.0.1", 0), Log(), 2)
+        statuses = set()
+        asker = Asker(loop, relay, "fe1")
+        while (answer := asker.ask(0, hold=0)).status == 503:
+            statuses.add(answer.status)
+            loop.sleep(10_000)
+        assert answer.page is not None and answer.page.revision == keepers.table.revision
+        assert relay.follower.table.digest == keepers.table.digest
+        relay.stop()
+
+    play(main)
+
+
+def test_a_relay_that_is_behind_never_answers_an_older_revision() -> None:
+    def main(loop: Loop) -> None:
+        keepers = Keepers(loop, filled(5))
+        relay = Relay(loop, "r1", keepers.addresses, ("127.0.0.1", 0), Log(), 1)
+        until(loop, lambda: relay.watcher.complete)
+        asked = loop.now()
+        answer = Asker(loop, relay, "fe1").ask(9, 77)
+        assert answer.status == 204 and answer.at - asked >= HOLD
+        assert AGE_HEADER.lower() not in answer.headers
+        relay.stop()
+
+    play(main)
+
+
+def test_cut_off_from_the_keepers_a_relay_s_word_grows_old() -> None:
+    def script(keepers: Keepers, tier: Tier) -> None:
+        loop = keepers.loop
+        relay = tier.relays["r1"]
+        assert relay.watcher.age() < 4 * SECOND
+        keepers.alive = False  # they answer, but no leader vouches for what they hold
+        loop.sleep(20 * SECOND)
+        assert relay.watcher.age() >= 19 * SECOND
+        assert all(m.log.count("control not heard for 9 s") == 1 for m in tier.members)
+        keepers.alive = True
+        until(loop, lambda: all(m.log.count("control heard again") == 1 for m in tier.members))
+        cut = loop.now()
+        keepers.end()
+        loop.sleep(30 * SECOND)
+        assert relay.watcher.age() >= loop.now() - cut - SECOND
+        answer = Asker(loop, relay).ask(3, relay.follower.table.digest, hold=0)
+        assert int(answer.headers[AGE_HEADER.lower()]) >= 29 * SECOND
+        assert all(m.log.count("control not heard for 9 s") == 2 for m in tier.members)
+        assert tier.logs["r1"].count("sums not told") == 1  # once, however often
+        assert all(m.follower.in_force == 3 for m in tier.members)  # static stability
+
+    playing(script)
+
+
+def test_a_keeper_lost_is_left_for_another() -> None:
+    def script(keepers: Keepers, tier: Tier) -> None:
+        loop = keepers.loop
+        for name, server in keepers.servers.items():
+            if name != "k3":
+                server.stop_accepting()
+                for stream in list(server.streams):
+                    stream.reset()
+        keepers.elect("k3")
+        revision = keepers.change(ops(1))
+        until(loop, tier.in_force)
+        assert keepers.status().lowest == revision
+        assert {relay.watcher.server for relay in tier.relays.values()} == {"k3"}
+        assert all(log.count("watch") >= 1 for log in tier.logs.values())
+
+    playing(script)
+
+
+def test_a_new_leader_is_told_everything() -> None:
+    def script(keepers: Keepers, tier: Tier) -> None:
+        loop = keepers.loop
+        loop.sleep(5 * SECOND)
+        keepers.elect("k2")
+        elected = loop.now()
+        assert keepers.status().lowest < keepers.table.revision
+        until(loop, tier.in_force)
+        assert loop.now() - elected < 4 * SECOND
+        assert any(sums.since == 0 and sums.joined for at, sums in keepers.sums if at > elected)
+
+    playing(script, 20)
+
+
+def test_a_member_that_has_gone_is_out_of_the_sums_at_once() -> None:
+    def script(keepers: Keepers, tier: Tier) -> None:
+        loop = keepers.loop
+        member = tier.members.pop()
+        name, relay = member.follower.member, tier.relays[member.watcher.server]
+        assert name in relay.roster
+        member.task.cancel()
+        gone = loop.now()
+        until(loop, lambda: name not in relay.roster)
+        assert loop.now() - gone < SECOND
+        until(loop, lambda: name in keepers.sums[-1][1].left or name in keepers.sums[-2][1].left)
+        assert loop.now() - gone < 2 * SECOND
+        keepers.change(ops(1))
+        loop.sleep(5 * SECOND)
+        # Agreed on, and told of by nobody: the leader claims nothing of it.
+        assert [m.member for m in keepers.status().lacking] == [name]
+        assert keepers.status().lowest < keepers.table.revision
+
+    playing(script)
+
+
+def test_a_member_that_ends_is_told_as_ended() -> None:
+    def script(keepers: Keepers, tier: Tier) -> None:
+        member = tier.members.pop()
+        member.watcher.stop()
+        until(keepers.loop, lambda: member.follower.member not in keepers.followers)
+        keepers.change(ops(1))
+        until(keepers.loop, tier.in_force)
+
+    playing(script)
+
+
+def test_a_stuck_member_is_named_and_holds_back_nobody() -> None:
+    def script(keepers: Keepers, tier: Tier) -> None:
+        loop = keepers.loop
+        stuck = tier.members[0]
+
+        def take(taken: object) -> None:
+            stuck.follower.refused(stuck.table.revision, "no class fast here")
+
+        stuck.watcher._on_taken = take
+        revision = keepers.change(ops(1))
+        others = tier.members[1:]
+        until(loop, lambda: all(m.follower.in_force == revision for m in others))
+        until(loop, lambda: keepers.status().lacking)
+        until(loop, lambda: keepers.status().lacking[0].stuck)
+        told = keepers.status()
+        assert [(m.member, m.stuck) for m in told.lacking] == [(stuck.follower.member, "no class fast here")]
+        assert told.lowest == revision - 1
+
+    playing(script)
+
+
+def test_a_relay_s_figures_are_logged() -> None:
+    def script(keepers: Keepers, tier: Tier) -> None:
+        keepers.loop.sleep(21 * SECOND)
+        lines = [fields for line, fields in tier.logs["r1"].lines if line == "figures"]
+        assert len(lines) >= 2 and lines[-1]["revision"] == 3 and lines[-1]["cpu"] >= 0
+        assert lines[-1]["members"] == len(tier.relays["r1"].roster)
+        assert tier.logs["r1"].count("relay") == 1 and tier.logs["r1"].count("watch") == 1
+
+    playing(script)
+
+
+def test_other_requests_are_told_what_is_wanted() -> None:
+    def script(keepers: Keepers, tier: Tier) -> None:
+        connection = Connection.open(keepers.loop, tier.relays["r1"].address)
+        answer = connection.ask("GET", "/")
+        assert answer.status == 404 and answer.body == b"found GET /, wanted POST /table/1/watch"
+
+    playing(script, 1)
+
+
+def test_stop_ends_all_and_members_find_another() -> None:
+    def script(keepers: Keepers, tier: Tier) -> None:
+        loop = keepers.loop
+        relay = tier.relays.pop("r1")
+        tier.places["r1"] = ("127.0.0.1", 1)
+        relay.stop()
+        asked = len(keepers.asked)
+        keepers.change(ops(1))
+        until(loop, tier.in_force)
+        loop.sleep(10 * SECOND)
+        assert relay.watches.held == 0 and not relay._server.streams
+        told = [sums for at, sums in keepers.sums if sums.relay == "r1"]
+        loop.sleep(10 * SECOND)
+        assert told == [sums for at, sums in keepers.sums if sums.relay == "r1"] and asked
+
+    playing(script)
--- a/packages/watch/src/walnutpost/watch/client.py
+++ b/packages/watch/src/walnutpost/watch/client.py
@@ -143,8 +143,8 @@
         if self._task is not None:
             self._task.cancel()
         self._drop()  # with the question that is held there: there are never two at once
-        if not self.server:
-            return
+        if not self.server or not self._follower.member:
+            return  # nobody knows of it
         question = structs.replace(self._follower.question(0), leaving=True)
         with suppress(OSError, Timeout, BadHttp), self._loop.timeout(LEAVE_TIME):
             connection = self._opened()
--- a/packages/watch/tests/test_client.py
+++ b/packages/watch/tests/test_client.py
@@ -12,11 +12,11 @@
 
 from walnutpost.http import Response, encode_response
 from walnutpost.loop import Listener, Loop, Stream
-from walnutpost.table import AGE_HEADER, ChangeSet, Entry, Op, Page, Question, Table, encode, owed
+from walnutpost.table import AGE_HEADER, ChangeSet, Entry, Op, Page, Question, encode, owed
 from walnutpost.table.choice import order
 from walnutpost.watch import HELD_HEADER
 from walnutpost.watch.client import BODY_MOST, BURST, RATE
-from watch_rig import HOLD, SECOND, Asker, Member, Raw, Served, filled, large, ops, play, until
+from watch_rig import HOLD, SECOND, Asker, Member, Raw, Served, copy, filled, large, ops, play, until
 
 HEADERS = {AGE_HEADER: "0", HELD_HEADER: "0"}
 
@@ -35,10 +35,6 @@
     return [name for name in names if order(name, {"a": "r", "b": "r"}, "r")[0] == server][:count]
 
 
-def copy(table: Table) -> Table:
-    return Table.restore(table.snapshot())
-
-
 # Following
 
 
--- a/packages/watch/tests/watch_rig.py
+++ b/packages/watch/tests/watch_rig.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from random import Random
-from typing import Any
+from typing import Any, Protocol
 
 from walnutpost.http import BadMessage, Connection, Exchange, Response, Server, encode_request
 from walnutpost.http.server import serve_on
@@ -53,6 +53,15 @@
     return Table.of(entries, 100)
 
 
+def copy(table: Table) -> Table:
+    return Table.restore(table.snapshot())
+
+
+class Addressed(Protocol):
+    @property
+    def address(self) -> tuple[str, int]: ...
+
+
 class Served:
     """One server of a table, as a relay or a keeper has it; `table` may be changed through `change`."""
 
@@ -96,7 +105,7 @@
 class Asker:
     """A member that asks by hand, over one connection."""
 
-    def __init__(self, loop: Loop, served: Served, member: str = "") -> None:
+    def __init__(self, loop: Loop, served: Addressed, member: str = "") -> None:
         self.loop, self.member, self.session = loop, member, 0
         self.connection = Connection.open(loop, served.address)
 
