A front end takes up functions' settings while it runs, by way of the relays

Settings other than schedules waited for a restart. Where agreement.relays are configured, the front end follows the agreed table (walnutpost.watch, walnutpost.table): a revision is judged, and put in place as a whole between two turns of the loop; only then it is told to be in force. A function that names a class its own file lacks holds up that and later revisions and is named to the relays; whole tables are judged fifty entries a turn. The table acted on is kept beside the store for a start without relays; a start waits for a relay for a second at most. Without keepers no reports are made; classes, tenants and all else come from the file.

--- a/packages/daemon/src/walnutpost/daemon/front_end.py
+++ b/packages/daemon/src/walnutpost/daemon/front_end.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import os
 import secrets
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, Protocol
 
+from walnutpost.agent import INCARNATION
 from walnutpost.config import Config, WorkerLine, catalogue, own_schedules, router_settings
 from walnutpost.config.base import address_of
 from walnutpost.config.settings import us
@@ -19,6 +22,7 @@
 from walnutpost.daemon.lists import Lists
 from walnutpost.daemon.meters import Meters
 from walnutpost.daemon.seen import Seen
+from walnutpost.daemon.settings import Functions, SettingsFollowing
 from walnutpost.fronts.invoke import InvokeFront, Names, refusal
 from walnutpost.fronts.timers import TimersFront
 from walnutpost.gateway import Gateway
@@ -63,6 +67,10 @@
         self._config = config
         seed = front.seed if front.seed is not None else secrets.randbits(63)
         settings, self.catalogue = router_settings(config), catalogue(site)
+        followed: Functions | None = None
+        if config.agreement is not None and config.agreement.relays:
+            followed = Functions(self.catalogue.functions, list(site.classes))
+            self.catalogue = replace(self.catalogue, functions=followed, changing=True)
         gateway = Gateway(
             settings, self.catalogue, seed, us(front.remember_ms), int(front.remember_mb * (1 << 20))
         )
@@ -77,7 +85,7 @@
         self.links = Links(loop, link_settings, f"{front.index}-{secrets.token_hex(6)}", tap, context)
         self.core = Core(loop, gateway, self.links, log)
         counted: CountedCore | None = None
-        if config.agreement is not None:
+        if config.agreement is not None and config.agreement.keepers:
             self.core = counted = CountedCore(loop, gateway, self.links, log)
             counted.functions, counted.classes = self.catalogue.functions, settings.classes
         self._store = ExecutionStore(loop, base / front.store)
@@ -112,11 +120,20 @@
         else:
             self.lists.tell(ListKind.CACHED, 0, front.workers)
         self.following: Following | None = None
+        incarnation = os.environ.get(INCARNATION) or secrets.token_hex(6)
         if config.agreement is not None and counted is not None:
             zone = front.zone or "all"
             kept = base / f"{front.store}.agreed"
             self.following = Following(loop, config.agreement, zone, counted, self.lists, log, kept)
             self.following.catch_up()
+            incarnation = self.following.follower.incarnation
+        self.settings: SettingsFollowing | None = None
+        if config.agreement is not None and followed is not None:
+            kept = base / f"{front.store}.table"
+            self.settings = SettingsFollowing(
+                loop, config.agreement, front.zone, incarnation, followed, log, kept
+            )
+            self.settings.catch_up()
         firings = FiringStore(self._store)
         self._seen = Seen(base / f"{front.store}.seen")
         self.timers = TimersFront(
@@ -170,6 +187,8 @@
             self._loop.sleep(STOP_STEP)
         for task in self._tasks:
             task.cancel()
+        if self.settings is not None:
+            self.settings.stop()
         if self.journaling is not None:
             self.journaling.close()
         if self.meters is not None:
--- /dev/null
+++ b/packages/daemon/tests/test_settings.py
@@ -0,0 +1,445 @@
+"""Settings that change while a front end runs: a relay's table on the same loop, real calls over sockets."""
+
+from __future__ import annotations
+
+import base64
+import gc
+import json
+import tracemalloc
+from collections.abc import Callable
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from fleet_rig import INVOKE, SECOND, Fleet
+from relay_rig import Served
+from test_functions_gone import EVENT, fate, killed
+from walnutpost.config.entries import FUNCTION, entries_of, value_of
+from walnutpost.config.model import FunctionLine
+from walnutpost.daemon.settings import DECODED_MOST, JUDGED_AT_ONCE, Functions, SettingsFollowing
+from walnutpost.gateway import Function
+from walnutpost.http import Connection, Response
+from walnutpost.interface import RequestArrived, WorkersListed
+from walnutpost.table import Entry, Op, Table
+
+CLASSES = ["valuation", "reservation"]
+PAIR = {"class": "valuation", "memory_mb": 100, "lanes": 2, "load_ms": 50}
+QUICK = {"work_ms": 20, "spread": 0, "load_ms": 50}
+SITE = {
+    "site": {"functions": {name: PAIR for name in ("left", "right", "extra")}, "rules": {"free_loads": 99}},
+    "fleet": {"work": {name: QUICK for name in ("left", "right", "extra")}},
+}
+
+
+def line(version: int = 1, **more: Any) -> bytes:
+    told = {"class": "valuation", "memory_mb": 100, "lanes": 2, "load_ms": 50, "version": str(version)}
+    return value_of(FunctionLine.model_validate(told | more))
+
+
+def put(name: str, version: int = 1, **more: Any) -> Op:
+    return Op(FUNCTION + name, line(version, **more))
+
+
+def gone(name: str) -> Op:
+    return Op(FUNCTION + name, None)
+
+
+class Followed(Fleet):
+    """A fleet whose front end follows a relay's table, which has the settings of its own file."""
+
+    def __init__(self, path: Path, more: dict[str, Any] | None = None, agreed: bool = True) -> None:
+        super().__init__(path, more or SITE)
+        self.agreed = agreed
+        self.relay: Served
+        self.relays: dict[str, str] = {}
+        self.more: dict[str, Any] = {}
+
+    def play(self, script: Callable[[], None]) -> None:
+        def main() -> None:
+            self.start_workers()
+            table = Table()
+            if self.agreed:
+                table.change(1, [Op(key, value) for key, value in entries_of(self.config.site).items()])
+            self.start_relay(table)
+            self.begin()
+            script()
+
+        try:
+            self.loop.run(main)
+        finally:
+            if hasattr(self, "front"):
+                self.front.close()
+        assert not self.errors, self.errors
+
+    def start_relay(self, table: Table) -> None:
+        self.relay = Served(self.loop, table)
+        self.relays = {"r1": "{}:{}".format(*self.relay.address)}
+
+    def begin(self, listed: bool = True) -> None:
+        told = json.loads(self.front_config.model_dump_json(by_alias=True, exclude_unset=True))
+        told["agreement"] = {"member": "front-0", "relays": self.relays} | self.more
+        self.front_config = type(self.front_config).model_validate(told)
+        self.front = self.start_front(listed)
+
+    @property
+    def settings(self) -> SettingsFollowing:
+        assert self.front.settings is not None
+        return self.front.settings
+
+    def change(self, *ops: Op) -> int:
+        """Agreed on, and in force at the front end."""
+        revision = self.relay.change(list(ops))
+        self.until(lambda: self.settings.follower.in_force == revision)
+        return revision
+
+    def answers_as(self, function: str) -> str:
+        told = self.invoke(function)
+        assert told.status == 200, (told.status, told.body)
+        return told.headers["x-amz-executed-version"]
+
+    def said(self, event: str, part: str) -> int:
+        return sum(name == event and part in repr(told) for name, told in self.log.lines)
+
+
+def test_new_settings_hold_from_the_next_call_and_touch_nothing_else(tmp_path: Path) -> None:
+    f = Followed(tmp_path, {"fleet": {"work": {"price": {"work_ms": 1000}}}})
+
+    def script() -> None:
+        f.warm("reserve")
+        router = f.front.core._gateway._router
+        events: list[Any] = []
+        handle = router.handle
+
+        def seen(now: int, event: Any) -> Any:
+            events.append(event)
+            return handle(now, event)
+
+        router.handle = seen  # type: ignore[method-assign]
+        key = f.front.core._gateway._functions.number("reserve")
+        state, belief = router._functions[key], {w: c.count for w, c in router._functions[key].copies.items()}
+        first = f.loop.spawn(f.invoke, "price")
+        f.until(lambda: f.runs("price") == 1)
+        f.change(put("price", 2, lanes=7, memory_mb=512, load_ms=80, **{"class": "reservation"}))
+        open_calls = f.front.core._gateway._calls.values()
+        assert [(c.function.version, c.function.lanes) for c in open_calls] == [("1", 2.0)]
+        second = f.invoke("price")
+        assert (second.status, second.headers["x-amz-executed-version"]) == (200, "2")
+        assert (first.join().status, first.join().headers["x-amz-executed-version"]) == (200, "1")
+        asked = [e for e in events if isinstance(e, RequestArrived)]
+        told = [(e.class_index, e.memory_mb, e.lanes, e.load_time) for e in asked]
+        assert told == [(0, 400, 2.0, 300_000), (1, 512, 7.0, 80_000)]
+        assert not [e for e in events if isinstance(e, WorkersListed)]
+        assert f.front.core._gateway._router is router and router._functions[key] is state
+        assert {w: c.count for w, c in state.copies.items()} == belief
+        assert f.warm("reserve") in {f.front.core._gateway._workers.name(w) for w in belief}
+
+    f.play(script)
+
+
+def test_a_removal_refuses_new_calls_as_unknown_and_lets_open_ones_end(tmp_path: Path) -> None:
+    f = Followed(tmp_path, {"fleet": {"work": {"price": {"work_ms": 1000}}}})
+
+    def script() -> None:
+        sync = f.loop.spawn(f.invoke, "price")
+        deferred = f.invoke("price", b"2", x_amz_invocation_type=EVENT)
+        f.until(lambda: f.runs("price") == 2)
+        f.change(gone("price"))
+        unknown = f.invoke("price")
+        assert unknown.status == 404 and b"Function not found: price" in unknown.body
+        assert f.invoke("price", x_amz_invocation_type=EVENT).status == 404
+        assert sync.join().status == 200
+        f.until(lambda: fate(f, deferred)["Status"] == "SUCCEEDED")
+        assert f.answers_as("reserve") == "1" and f.runs("price") == 2
+        f.change(put("price", 3))
+        assert f.answers_as("price") == "3"
+
+    f.play(script)
+
+
+def test_calls_see_a_change_set_whole_and_none_is_refused_or_lost_by_one(tmp_path: Path) -> None:
+    """Four clients call all along, each two functions in turn, whose versions change together."""
+    f = Followed(tmp_path)
+    seen: list[tuple[str, int]] = []
+
+    def client(order: tuple[str, str], until: Callable[[], bool]) -> None:
+        before = 0
+        connection = Connection.open(f.loop, f.front.address)
+        while not until():
+            for function in order:
+                told = connection.ask("POST", INVOKE.format(function), {}, b"1")
+                assert told.status == 200, (function, told.status, told.body)
+                version = int(told.headers["x-amz-executed-version"])
+                assert version >= before, "one function of a change set without the other"
+                before = version
+                seen.append((function, version))
+        connection.close()
+
+    def script() -> None:
+        over: list[bool] = []
+        orders = [("left", "right"), ("right", "left")] * 2
+        for name in ("left", "right"):
+            f.invoke(name)
+        clients = [f.loop.spawn(client, order, lambda: bool(over)) for order in orders]
+        revision = 1
+        for version in range(2, 42):  # of each third the front end takes several at once
+            ops = [put("left", version), put("right", version)]
+            ops.append(put("extra", version) if version % 2 else gone("extra"))
+            revision = f.relay.change(ops)
+            f.loop.sleep(37_000 if version % 3 == 0 else 0)
+        f.until(lambda: f.settings.follower.in_force == revision)
+        f.loop.sleep(SECOND)
+        over.append(True)
+        for task in clients:
+            task.join()
+        assert f.answers_as("left") == f.answers_as("right") == "41"
+
+    f.play(script)
+    assert len({version for _, version in seen}) > 10
+
+
+def test_what_the_front_end_cant_act_on_is_named_and_never_half_in_force(tmp_path: Path) -> None:
+    f = Followed(tmp_path)
+
+    def stuck() -> str:
+        return f.relay.questions[-1].stuck
+
+    def script() -> None:
+        bad = put("ghost", 1, **{"class": "nowhere"})
+        f.relay.change([put("left", 2), bad])
+        f.until(lambda: stuck() != "")
+        assert "function/ghost" in stuck() and "nowhere" in stuck() and "valuation" in stuck()
+        assert f.answers_as("left") == "1" and f.invoke("ghost").status == 404
+        f.relay.change([put("right", 2)])  # which alone could be acted on, and comes after what can't
+        f.until(lambda: f.relay.questions[-1].revision == 3)
+        assert f.relay.questions[-1].in_force == 1 and stuck()
+        assert f.answers_as("left") == f.answers_as("right") == "1"
+        assert f.said("settings", "nowhere") == 1
+        f.change(put("ghost", 2))
+        assert (f.answers_as("left"), f.answers_as("right")) == ("2", "2")
+        f.until(lambda: f.relay.questions[-1].in_force == 4 and not stuck())
+
+    f.play(script)
+
+
+def test_a_later_removal_mends_it_too_and_the_rest_comes_in_force(tmp_path: Path) -> None:
+    f = Followed(tmp_path)
+
+    def script() -> None:
+        ghosts = [put(f"ghost{n}", 1, **{"class": "nowhere"}) for n in range(3)]
+        f.relay.change([put("left", 2), *ghosts])
+        f.until(lambda: "and 2 more" in f.relay.questions[-1].stuck)
+        f.change(*(gone(f"ghost{n}") for n in range(3)))
+        assert f.answers_as("left") == "2" and len(f.front.catalogue.functions) == 5
+
+    f.play(script)
+
+
+def test_a_start_without_relays_acts_on_the_table_that_it_kept(tmp_path: Path) -> None:
+    f = Followed(tmp_path)
+
+    def script() -> None:
+        f.change(put("left", 2), put("extra", 5), gone("right"))
+        told = f.invoke("extra", b"9", x_amz_invocation_type=EVENT)
+        killed(f)
+        assert f.relay.questions[-1].leaving
+        f.relay.end()
+        before = f.loop.now()
+        site = f.front_config.site
+        own = {name: line for name, line in site.functions.items() if name != "extra"}  # its file is older
+        f.front_config = f.front_config.model_copy(
+            update={"site": site.model_copy(update={"functions": own})}
+        )
+        f.begin()
+        assert f.loop.now() - before <= 2 * SECOND
+        assert (
+            f.answers_as("left") == "2" and f.answers_as("extra") == "5" and f.invoke("right").status == 404
+        )
+        f.until(lambda: fate(f, told)["Status"] == "SUCCEEDED")
+        assert f.settings.follower.in_force == 2
+        f.loop.sleep(30 * SECOND)
+        assert f.settings.late and f.said("control not heard for 9 s", "") == 1
+        assert f.answers_as("left") == "2"
+
+    f.play(script)
+
+
+@pytest.mark.parametrize("harm", ["flipped", "short", "empty"])
+def test_a_kept_table_that_is_broken_is_said_and_not_used(tmp_path: Path, harm: str) -> None:
+    f = Followed(tmp_path)
+
+    def script() -> None:
+        f.change(put("left", 2))
+        killed(f)
+        table = f.relay.table
+        f.relay.end()
+        kept = tmp_path / "calls.db.table"
+        data = bytearray(kept.read_bytes())
+        if harm == "flipped":
+            data[len(data) // 2] ^= 4
+        kept.write_bytes(data if harm == "flipped" else data[: len(data) // 2] if harm == "short" else b"")
+        f.begin()
+        assert f.said("settings", "calls.db.table is not used") == 1
+        assert f.answers_as("left") == "1"  # its own file's
+        f.front.stop()
+        f.front.close()
+        f.start_relay(table)
+        f.begin()
+        assert f.answers_as("left") == "2"
+
+    f.play(script)
+
+
+def test_its_own_file_stands_until_a_function_is_agreed_on(tmp_path: Path) -> None:
+    f = Followed(tmp_path, agreed=False)
+
+    def script() -> None:
+        assert f.answers_as("left") == "1" and len(f.front.catalogue.functions) == 5
+        f.change(Op("tenant/tills", b"{}"))
+        assert f.answers_as("left") == "1"
+        f.change(put("extra", 7))
+        assert f.answers_as("extra") == "7" and f.invoke("left").status == 404
+        assert list(f.front.catalogue.functions) == ["extra"]
+
+    f.play(script)
+
+
+def test_a_relay_that_says_nothing_holds_up_a_start_for_a_second_and_no_call(tmp_path: Path) -> None:
+    f = Followed(tmp_path)
+
+    def script() -> None:
+        f.front.stop()
+        f.front.close()
+        (tmp_path / "calls.db.table").unlink()
+        f.relay.watch.answer = lambda *_: f.loop.sleep(3600 * SECOND)  # type: ignore[assignment, method-assign]
+        before = f.loop.now()
+        f.begin()
+        assert f.loop.now() - before <= 2 * SECOND
+        before = f.loop.now()
+        assert f.answers_as("left") == "1" and f.loop.now() - before < SECOND
+        assert f.front.following is None
+
+    f.play(script)
+
+
+def test_with_keepers_too_both_are_followed(tmp_path: Path) -> None:
+    f = Followed(tmp_path)
+    f.more = {"keepers": {"k1": "127.0.0.1:1"}}
+
+    def script() -> None:
+        assert f.front.following is not None
+        assert f.front.following.follower.incarnation == f.settings.follower.incarnation
+        f.change(put("left", 2))
+        assert f.answers_as("left") == "2" and f.front.core.figures.served == 1  # type: ignore[attr-defined]
+
+    f.play(script)
+
+
+def test_whole_tables_are_judged_a_part_at_a_time_and_what_comes_meanwhile_is_not_missed(
+    tmp_path: Path,
+) -> None:
+    f = Followed(tmp_path)
+
+    def script() -> None:
+        many = {FUNCTION + f"f{n}": Entry(FUNCTION + f"f{n}", line(), 2) for n in range(3000)}
+        others: list[int] = []
+        judged, wrong = [0], f.settings._wrong
+
+        def other() -> None:
+            while f.settings._judge is not None:
+                others.append(judged[0])
+                f.loop.breathe()
+
+        def counted(entry: Entry) -> str:
+            judged[0] += 1
+            if judged[0] == 1:
+                f.loop.spawn(other)
+            elif judged[0] == 1000:
+                f.relay.change([put("left", 9), gone("f17"), put("new", 3)])
+            return wrong(entry)
+
+        f.settings._wrong = counted  # type: ignore[method-assign]
+        f.relay.table = Table.of({**f.relay.table.entries, **many}, 50)
+        f.relay.watch.changed()
+        f.until(lambda: f.settings.follower.in_force == 51)
+        assert f.answers_as("left") == "9" and f.invoke("f17").status == 404
+        assert max(b - a for a, b in pairwise(others)) <= JUDGED_AT_ONCE and others[-1] > 2900
+        names = f.front.catalogue.functions
+        assert len(names) == len(list(names)) == 5 + 3000 and names["new"].version == "3"
+
+    f.play(script)
+
+
+def test_functions_are_decoded_as_they_are_asked_for_and_few_are_kept() -> None:
+    functions = Functions({}, CLASSES)
+    made = {FUNCTION + f"f{n}": Entry(FUNCTION + f"f{n}", line(n), 1) for n in range(3 * DECODED_MOST)}
+    entries = Table.of(made, 1).entries
+    functions.put(entries, len(made))
+    assert not functions._decoded
+    for n in range(3 * DECODED_MOST):
+        assert functions[f"f{n}"].version == str(n)
+    assert len(functions._decoded) == DECODED_MOST
+    again = functions[f"f{3 * DECODED_MOST - 1}"]
+    assert again is functions[f"f{3 * DECODED_MOST - 1}"] and isinstance(again, Function)
+    changed = entries.set(FUNCTION + "f1", Entry(FUNCTION + "f1", line(77), 2))
+    assert functions["f1"].version == "1"
+    functions.put(changed, len(made))
+    assert functions["f1"].version == "77" and "nope" not in functions
+
+
+def test_memory_is_where_it_was_after_ten_thousand_changes(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Functions come, change, are called and go; traced bytes and counted objects, not the process's size."""
+    monkeypatch.setattr("walnutpost.daemon.settings.DECODED_MOST", 16)  # reached before the first measuring
+    f = Followed(tmp_path)
+    live, burst_of = 12, 100
+    context = base64.b64encode(b'{"custom": {"deadline-ms": 20}}').decode()
+
+    def brief(function: str) -> Response:
+        return f.invoke(function, x_amz_client_context=context)
+
+    def burst(count: int) -> None:
+        """Each change set has a function come, one change and one go; then some are called."""
+        for n in range(burst_of):
+            number = count * burst_of + n
+            ops = [put(f"come{number}"), put("left", number + 1)]
+            if number >= live:
+                ops.append(gone(f"come{number - live}"))
+            revision = f.relay.change(ops)
+        f.until(lambda: f.settings.follower.in_force == revision)
+        calls = [f.loop.spawn(brief, f"come{number - n}") for n in range(live)]
+        assert {call.join().status for call in calls} == {429}  # no workers: their records would grow
+        assert f.front.catalogue.functions["left"].version == str(number + 1)
+        f.loop.sleep(4 * SECOND)
+        f.log.lines.clear()
+        f.relay.questions.clear()
+
+    def measured() -> tuple[int, int]:
+        f.loop.sleep(60 * SECOND)  # what the Router remembers of copies and calls has lapsed
+        f.log.lines.clear()
+        f.relay.questions.clear()
+        gc.collect()
+        return tracemalloc.get_traced_memory()[0], len(gc.get_objects())
+
+    def script() -> None:
+        f.start_relay(Table.of(f.relay.table.entries, 1, log_most=2 * burst_of))
+        f.front.stop()
+        f.front.close()
+        f.begin(listed=False)
+        tracemalloc.start()
+        try:
+            for count in range(30):
+                burst(count)
+            measured()
+            before = measured()
+            for count in range(30, 130):
+                burst(count)
+            after = measured()
+        finally:
+            tracemalloc.stop()
+        assert f.settings.follower.in_force > 10_000
+        assert after[0] - before[0] < 100_000 and after[1] - before[1] < 500, (before, after)
+
+    f.play(script)
