A connection whose requests don't start at the first id gets an error at once

Ruled out: silent clients, interrupts, a rid that is open here (an error already), the other kinds (none were left).

Lines to blame: clients.py Connection._call took any first id.

--- a/packages/node/src/walnutpost/node/clients.py
+++ b/packages/node/src/walnutpost/node/clients.py
@@ -20,6 +20,7 @@
 PATIENCE = 8  # requests of no use on one connection, after which it is read more slowly
 PAUSE_US = 200_000
 USELESS_MOST = 256  # beside requests that are open: then nothing more is taken there
+FIRST_NUMBER = 1  # of a connection's requests: ids go up from there
 TAKEN_BACK_MOST = 64  # requests taken back before they came
 LINGER_US = 500_000  # for a client to fetch its answers while what it sends is thrown away
 ACCEPT_PAUSE_US = 20_000  # after an error that nobody expected of the listener
@@ -231,6 +232,8 @@
         if call.number <= self._last:
             clients.bad += 1
             return self._twice(call.number)
+        if self._last < 0 and not self.known and call.number > FIRST_NUMBER:  # copied from someone's request
+            return self._bad(call.number, f"message id: found {call.number}, wanted {FIRST_NUMBER} first")
         self._last = call.number
         rid = call.rid.encode()
         if rid in clients.open_ids:
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -224,6 +224,27 @@
     play(script)
 
 
+def test_a_connection_whose_requests_dont_start_at_the_first_id_gets_an_error_at_once() -> None:
+    """Somebody else's request, copied with its ids: workers answer errors, and nothing else came of it
+    until its deadline, later than a bad client is owed a word."""
+
+    def script(world: World) -> None:
+        client = world.client()
+        client._number = 995
+        assert client.send() == 996
+        kind, number, error, _ = client.next()
+        assert (kind, number) == (1, 996) and error[1]["reason"].startswith("message id")
+        assert not any(worker.calls() for worker in world.workers)
+        assert client.send() == 997 and client.next()[:3] == [1, 997, None], "ids go up from there"
+        checked = world.client()
+        checked._number = 8
+        checked.raw(msgpack.packb([0, 8, "check", [{}]]))
+        assert checked.next()[1:] == [8, None, [True, {}]]
+        assert checked.send() == 9 and checked.next()[:3] == [1, 9, None], "a check has an id, too"
+
+    play(script)
+
+
 def test_connections_without_end_leave_room_for_one_that_asks() -> None:
     def script(world: World) -> None:
         warm(world, world.client())
