walnutpost relay; who acts on a revision by name; an example of settings that change while running

Cause: the mechanism needs its process, its operators' page, and a way to be tried by who has a clone alone.

--- a/packages/cli/src/walnutpost/cli/keepers.py
+++ b/packages/cli/src/walnutpost/cli/keepers.py
@@ -1,9 +1,9 @@
-"""`walnutpost keeper` and `walnutpost agent`: the processes of the agreed history."""
+"""`walnutpost keeper`, `walnutpost relay`, `walnutpost agent`: the processes of the agreed history."""
 
 from __future__ import annotations
 
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -12,16 +12,17 @@
 from walnutpost.agent import Agent, AgentError
 from walnutpost.agreement import Timing
 from walnutpost.cli.configs import CONFIG, end
-from walnutpost.cli.listening import listening
-from walnutpost.cli.run import make_loop, stop_event
+from walnutpost.cli.listening import Place, listening
+from walnutpost.cli.run import make_loop, raise_descriptors, stop_event
 from walnutpost.config import ConfigError, keys_of, load
 from walnutpost.config.base import address_of
 from walnutpost.config.entries import Held, check
-from walnutpost.config.keepers import Keepers
+from walnutpost.config.keepers import KeeperLine, Keepers
 from walnutpost.config.settings import us
 from walnutpost.fleet import Terms as Step
 from walnutpost.fleet.steward import Terms
 from walnutpost.keeper import Keeper, KeeperError
+from walnutpost.relay import Relay
 from walnutpost.store import StoreError
 
 AGENTS = "agents"  # beside the configuration: what agents of this machine hold on disk
@@ -39,6 +40,14 @@
         end(*error.lines)
 
 
+def _place(section: str, lines: Sequence[KeeperLine], name: str) -> Place:
+    """The setting by which one of `lines` listens."""
+    place, line = next((place, line) for place, line in enumerate(lines) if line.name == name)
+    if line.listen is not None:
+        return f"{section}.{place}.listen", line.listen
+    return f"{section}.{place}.address", line.address
+
+
 @click.command()
 @CONFIG
 @click.option("--name", required=True, help="Which of CONFIG's keepers.")
@@ -53,9 +62,7 @@
     lines = {line.name: line for line in checked.keepers}
     if name not in lines:
         end(f"--name: found {name!r}; wanted one of {', '.join(lines)}")
-    line = lines[name]
-    place = f"keepers.{checked.keepers.index(line)}.{'address' if line.listen is None else 'listen'}"
-    listen = line.listen or line.address
+    listen = lines[name].listen or lines[name].address
     loop = make_loop(log)
     broken: list[KeeperError] = []
 
@@ -91,7 +98,7 @@
         return kept
 
     try:
-        with listening(config, [(place, listen)]):
+        with listening(config, [_place("keepers", checked.keepers, name)]):
             loop.run(run).close()
     except (StoreError, OSError) as error:
         end(f"{config}: keeper {name}: {error}")
@@ -99,6 +106,34 @@
         end(f"keeper {name}: its disk failed: {broken[0]}", code=1)
 
 
+@click.command()
+@CONFIG
+@click.option("--name", required=True, help="Which of CONFIG's relays.")
+@click.pass_obj
+def relay(log: Any, config: Path, name: str) -> None:
+    """Run one relay: it carries the agreed settings from the keepers to their members.
+
+    It holds no disk; members whose relay is lost go on at another.
+    """
+    checked = keepers_of(config)
+    lines = {line.name: line for line in checked.relays}
+    if name not in lines:
+        end(f"--name: found {name!r}; wanted one of {', '.join(lines) or 'none, there are no relays'}")
+    raise_descriptors()
+    line, loop = lines[name], make_loop(log)
+
+    def run() -> None:
+        stop = stop_event(loop, log)
+        keepers = {k.name: address_of(k.address) for k in checked.keepers}
+        listen = address_of(line.listen or line.address)
+        kept = Relay(loop, name, keepers, listen, log, secrets.randbits(63), line.address)
+        stop.wait()
+        kept.stop()
+
+    with listening(config, [_place("relays", checked.relays, name)]):
+        loop.run(run)
+
+
 @click.command()
 @CONFIG
 @click.option("--member", required=True, help="Which of CONFIG's agents.")
--- a/packages/cli/src/walnutpost/cli/main.py
+++ b/packages/cli/src/walnutpost/cli/main.py
@@ -16,7 +16,7 @@
 from walnutpost.cli import fleet_orders, fleet_plans, fleet_shown, logs, run, settings_shown
 from walnutpost.cli.configs import CONFIG, config_of, end
 from walnutpost.cli.fleet import fleet
-from walnutpost.cli.keepers import agent, is_keepers, keeper, keepers_of
+from walnutpost.cli.keepers import agent, is_keepers, keeper, keepers_of, relay
 from walnutpost.cli.keys import keys
 from walnutpost.cli.listening import front_places, listening, stand_in_places
 from walnutpost.cli.settings import config_group
@@ -152,7 +152,9 @@
     error.
     """
     for path in [p for p in configs if is_keepers(p)]:
-        click.echo(f"{path}: {len(keepers_of(path).keepers)} keepers")
+        told = keepers_of(path)
+        relays = f", {len(told.relays)} relays" if told.relays else ""
+        click.echo(f"{path}: {len(told.keepers)} keepers{relays}")
     checked = {path: config_of(path) for path in configs if not is_keepers(path)}
     for path, config in checked.items():
         site, fleet = config.site, config.fleet
@@ -180,6 +182,7 @@
 main.add_command(usage)
 main.add_command(keys)
 main.add_command(keeper)
+main.add_command(relay)
 main.add_command(agent)
 main.add_command(fleet)
 main.add_command(config_group)
--- a/packages/cli/src/walnutpost/cli/run.py
+++ b/packages/cli/src/walnutpost/cli/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 import signal
 from collections.abc import Callable
 from pathlib import Path
@@ -24,6 +25,13 @@
     return Loop(on_error=on_error)
 
 
+def raise_descriptors() -> None:
+    """A connection each for hundreds of members: as many descriptors as the machine lets this user have."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != hard:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
 def stop_event(loop: Loop, log: Any) -> Event:
     """Set by SIGINT or SIGTERM."""
     event = Event(loop)
--- a/packages/cli/src/walnutpost/cli/settings_shown.py
+++ b/packages/cli/src/walnutpost/cli/settings_shown.py
@@ -22,7 +22,7 @@
 from walnutpost.table import Entry, MemberStatus, Status
 
 LOOK_EVERY = 250_000
-TIMES_SHOWN = 10
+TIMES_SHOWN, NAMES_SHOWN = 10, 20
 WINDOW = 1000  # lines of the history that are asked for at a time
 SECTIONS = ((CLASS, "classes"), (FUNCTION, "functions"), (TENANT, "tenants"))
 CHANGE = re.compile(r"ops=(?P<keys>.*?)(, base=\d+)?(, operator=(?P<operator>.*))?")
@@ -155,44 +155,67 @@
     metavar="[REVISION]",
     help="Until all members act on it, or on the newest; exits 1 where they don't in time.",
 )
+@click.option("--members", "least", type=int, default=1, help="With --wait: of so many members at the least.")
 @click.option("--within", default=30.0, show_default=True, help="Seconds to wait at the most.")
 @FORM
 @click.pass_obj
-def status(log: Any, config: Path, wanted: int | None, within: float, form: str) -> None:
-    """Which revision is agreed on and who acts on it: by name who lacks it, and why; relays; last changes."""
-    told, wanted = with_loop(config, log, lambda loop, client: _status(loop, client, wanted, within))
+def status(log: Any, config: Path, wanted: int | None, least: int, within: float, form: str) -> None:
+    """Which revision is agreed on, who acts on it, by name who lacks it and why; relays; the last changes."""
+    told, names, wanted = with_loop(
+        config, log, lambda loop, client: _status(loop, client, wanted, least, within)
+    )
     if form == "json":
-        click.echo(json.dumps(_as_dict(told)))
+        click.echo(json.dumps(_as_dict(told, names)))
     else:
-        for line in _in_lines(told):
+        for line in _in_lines(told, names):
             click.echo(line)
-    if wanted is None or _in_force(told, wanted):
+    if wanted is None or _in_force(told, wanted, least):
         return
     if wanted > told.revision:
         end(f"--wait: found {wanted}; wanted a revision up to {told.revision}, the newest", code=1)
-    lack = f"{told.lacks} of {told.members} members lack it" if told.members else "nobody follows the table"
-    end(f"revision {wanted} is not in force everywhere after {within:g} s: {lack}", code=1)
+    why = f"{told.lacks} of {told.members} members lack it"
+    if told.members < least:
+        many = f"{told.members} members follow" if told.members else "nobody follows"
+        why = f"{many} the table, wanted {least}"
+    end(f"revision {wanted} is not in force everywhere after {within:g} s: {why}", code=1)
 
 
-def _in_force(told: Status, revision: int) -> bool:
+def _in_force(told: Status, revision: int, least: int) -> bool:
     """Where nobody is known to follow, nobody acts on it."""
-    return told.members > 0 and told.lowest >= revision
+    return told.members >= max(1, least) and told.lowest >= revision
 
 
-def _status(loop: Loop, client: KeeperClient, wanted: int | None, within: float) -> tuple[Status, int | None]:
-    """The status, and the revision that was waited for: for 0 that which is newest now."""
-    told = client.status()
+def _status(
+    loop: Loop, client: KeeperClient, wanted: int | None, least: int, within: float
+) -> tuple[Status, tuple[str, ...], int | None]:
+    """The status, who followed the table just before, and the revision that was waited for: for 0 that which
+    is newest now."""
+    names, told = _asked(client)
     revision = told.revision if wanted == 0 else wanted
     until = time.monotonic() + within
-    while revision is not None and not _in_force(told, revision):
+    while revision is not None and not _in_force(told, revision, least):
         if revision > told.revision or time.monotonic() >= until:
             break
         loop.sleep(LOOK_EVERY)
-        told = client.status()
-    return told, revision
+        names, told = _asked(client)
+    return told, names, revision
+
+
+def _asked(client: KeeperClient) -> tuple[tuple[str, ...], Status]:
+    """Names before the status: one who comes in between is in neither, and is not told to act on anything."""
+    names = tuple(sorted(client.state()[1].state.followers))
+    return names, client.status()
 
 
-def _as_dict(told: Status) -> dict[str, Any]:
+def _acting(told: Status, names: Sequence[str]) -> list[str] | None:
+    """Who acts on the newest revision, by name; None where not all who don't are told by name."""
+    if told.lacks > len(told.lacking):
+        return None
+    lacking = {m.member for m in told.lacking}
+    return [name for name in names if name not in lacking]
+
+
+def _as_dict(told: Status, names: Sequence[str]) -> dict[str, Any]:
     return {
         "revision": told.revision,
         "digest": f"{told.digest:016x}",
@@ -200,6 +223,7 @@
         "entries": told.entries,
         "members": told.members,
         "in_force": told.lowest,
+        "acting": _acting(told, names),
         "lacks": told.lacks,
         "lacking": [
             {
@@ -231,7 +255,7 @@
     return "on its way, or its process does not answer"
 
 
-def _in_lines(told: Status) -> list[str]:
+def _in_lines(told: Status, names: Sequence[str]) -> list[str]:
     lines = [
         f"revision {told.revision}, digest {told.digest:016x}: {told.entries} entries, "
         f"changes held after revision {told.floor}"
@@ -249,14 +273,15 @@
         lines.append(columns([["lacks it", "acts on", "why", "relay", "heard of"], *rows]))
         if told.lacks > len(told.lacking):
             lines.append(f"and {told.lacks - len(told.lacking)} more")
-    relays = [[name, str(rev), str(members), _ago(ago)] for name, rev, members, ago in told.relays]
-    lines.append(
-        columns([["relay", "holds", "members", "heard of"], *relays]) if relays else "no relay reports"
-    )
-    if told.timed:
-        rows = [
-            [str(t.revision), "not yet" if t.took is None else f"{t.took / 1e6:.3f} s"] for t in told.timed
-        ]
+    acting = _acting(told, names)
+    if acting:
+        more = f" and {len(acting) - NAMES_SHOWN} more" if len(acting) > NAMES_SHOWN else ""
+        lines.append(f"acting on revision {told.revision}: {', '.join(acting[:NAMES_SHOWN])}{more}")
+    rows = [[name, str(rev), str(members), _ago(ago)] for name, rev, members, ago in told.relays]
+    lines.append(columns([["relay", "holds", "members", "heard of"], *rows]) if rows else "no relay reports")
+    last = told.timed[-TIMES_SHOWN:] if told.members else ()  # with no member at all it says nothing
+    if last:
+        rows = [[str(t.revision), "not yet" if t.took is None else f"{t.took / 1e6:.3f} s"] for t in last]
         lines.append(columns([["revision", "everywhere after"], *rows]))
     return lines
 
--- a/packages/cli/tests/test_config.py
+++ b/packages/cli/tests/test_config.py
@@ -11,7 +11,7 @@
 
 from fleet_rig import BASE, merged
 from walnutpost.cli import main
-from walnutpost.config import Config, ConfigError, parse
+from walnutpost.config import Config, ConfigError, load, load_with_own, parse
 from walnutpost.config.keepers import Keepers
 
 ROOT = Path(__file__).parents[3]
@@ -126,6 +126,20 @@
             assert result.exit_code == 0, result.output
 
 
+def test_the_front_ends_of_the_settings_example_have_places_of_their_own() -> None:
+    shared, own = ROOT / "examples" / "settings.json5", ROOT / "examples" / "settings" / "f1.json5"
+    first, second = load(shared, Config), load_with_own(shared, own, Config)
+    assert first.agreement is not None and second.agreement is not None
+    assert first.agreement.member != second.agreement.member
+    assert first.front.listen != second.front.listen and first.front.index != second.front.index
+    fleet = load(ROOT / "examples" / "settings-keepers.json5", Keepers)
+    assert {line.name: line.address for line in fleet.relays} == first.agreement.relays
+    assert second.agreement.relays == first.agreement.relays
+    assert first.fleet is not None
+    stand_ins = [(line.name, line.listen) for line in first.fleet.workers]
+    assert [(line.name, line.address) for line in first.front.workers] == stand_ins
+
+
 def test_every_command_says_what_it_is_for() -> None:
     result = CliRunner().invoke(main, ["--help"])
     for command in ("serve", "worker", "up", "check-config", "trial", "audit"):
--- a/packages/cli/tests/test_settings.py
+++ b/packages/cli/tests/test_settings.py
@@ -7,19 +7,21 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Mapping
 from pathlib import Path
 from typing import Any
 
 import pytest
 from click.testing import CliRunner, Result
+from msgspec.structs import replace
 
 from fleet_rig import BASE, merged
 from walnutpost.cli import main
 from walnutpost.cli.settings import in_words
+from walnutpost.cli.settings_shown import _acting
 from walnutpost.config import Config, parse
 from walnutpost.config.entries import entries_of
-from walnutpost.table import OPS_MOST
+from walnutpost.table import OPS_MOST, MemberStatus, Status
 
 SITE = BASE["site"]
 PRICE, RESERVE = SITE["functions"]["price"], SITE["functions"]["reserve"]
@@ -31,6 +33,14 @@
         return "{}:{}".format(*sock.getsockname())
 
 
+def led(
+    ask: Callable[..., Result], processes: Mapping[str, subprocess.Popen[bytes]], logs: Callable[[], str]
+) -> None:
+    """Until a leader answers: on a busy machine processes take longer to start than a command waits."""
+    while ask("status").exit_code == 3:
+        assert all(process.poll() is None for process in processes.values()), logs()
+
+
 class Agreed:
     """One keeper, and commands that are given its file."""
 
@@ -42,6 +52,7 @@
         with (folder / "keeper.log").open("wb") as out:
             command = [sys.executable, "-m", "walnutpost.cli", "keeper", str(self.file), "--name", "k1"]
             self.process = subprocess.Popen([*command, "--found"], stdout=out, stderr=out)
+        led(self, {"k1": self.process}, (folder / "keeper.log").read_text)
 
     def __call__(self, command: str, *args: object) -> Result:
         """Standard output and error apart, since what is for machines must stand alone."""
@@ -249,6 +260,14 @@
     assert forgotten.exit_code == 1 and "not done: no member nobody" in forgotten.stderr
 
 
+def test_who_acts_is_told_by_name_only_where_all_who_do_not_are() -> None:
+    lacking = (MemberStatus("b", "i", 4, "r1", "", 5),)
+    told = Status(5, 0, 0, 1, 3, 4, lacking, (), (), lacks=1)
+    assert _acting(told, ("a", "b", "c")) == ["a", "c"]
+    assert _acting(replace(told, lacks=2), ("a", "b", "c")) is None
+    assert _acting(Status(5, 0, 0, 1, 2, 5, (), (), ()), ("a", "c")) == ["a", "c"]
+
+
 def test_without_a_quorum_commands_end_with_3(agreed: Agreed, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("walnutpost.cli.fleet.PATIENCE", 500_000)
     agreed.process.terminate()
