--- a/packages/table/tests/test_roster.py
+++ b/packages/table/tests/test_roster.py
@@ -687,10 +687,14 @@
         fleet.leader.agree(0, fleet.agreed)
         fleet.tell(10)
         assert fleet.leader.lowest == 10
-        walked = [fleet.leader._alone, fleet.leader._strange]
-        walked += [relay.apart for relay in fleet.leader._relays.values()]
-        sizes.append([sys.getsizeof(found) for found in walked])
-    assert sizes[0] == sizes[1] == [sys.getsizeof(set())] * 4
+        leader = Standings(0, 10)  # another, which knows the members before it hears of them
+        leader.agree(0, fleet.agreed)
+        for relay in fleet.relays:
+            tell(0, relay, leader, 10)
+        for found in (fleet.leader, leader):
+            walked = [found._alone, found._strange, *(relay.apart for relay in found._relays.values())]
+            sizes.append([sys.getsizeof(each) for each in walked])
+    assert sizes == [[sys.getsizeof(set())] * 4] * 4
 
 
 def test_a_relay_that_comes_back_with_less_is_taken_as_cheaply() -> None:
