table: a member's long reason cannot make a relay's report too large

Cause: why a member is stuck was told on whole; a hundred long ones make a report that the leader refuses to read, and all proofs of that relay wait. Change: 200 characters of it are kept.

--- a/packages/table/src/walnutpost/table/roster.py
+++ b/packages/table/src/walnutpost/table/roster.py
@@ -23,6 +23,7 @@
 NAMED_MOST = 100
 PAGE_MOST = 500  # members in `joined` or `left` of one report
 ENDED_MOST = 1000
+STUCK_MOST = 200  # characters kept of why a member is stuck: a report of a hundred stays small
 RELAY_SILENT = 10 * SECOND
 RELAY_GONE = 600 * SECOND
 TIMED_MOST = 100
@@ -99,7 +100,7 @@
                 question.incarnation,
                 question.session,
                 question.in_force,
-                question.stuck,
+                question.stuck[:STUCK_MOST],
                 now,
                 question,
                 former,
@@ -113,8 +114,9 @@
         if question.session > known.session:
             known.session = question.session
             self._mark(name)
-        if question.stuck != known.stuck:
-            known.stuck, self.news = question.stuck, True
+        stuck = question.stuck[:STUCK_MOST]
+        if stuck != known.stuck:
+            known.stuck, self.news = stuck, True
         known.at, known.question = now, question
 
     def gone(self, question: Question) -> None:
