Bytes that can't be read as text end no keeper; one key read alone; changes by what was read

msgspec raises UnicodeDecodeError for text that is no UTF-8, and RecursionError for deep nesting: as a command in the history either would have ended every keeper that applied it, over and over. Both are refused like any other bytes that are no command, the same at every keeper; over HTTP they get 400. GET /table/1/entries takes a key; a change set may name the revision that its asker read (seen), and is refused by key where one has changed since.

--- a/packages/fleet/src/walnutpost/fleet/commands.py
+++ b/packages/fleet/src/walnutpost/fleet/commands.py
@@ -277,7 +277,7 @@
     """The command, and when its asker's clock says it was asked; raises BadCommand."""
     try:
         framed = _decoder.decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise BadCommand(f"not a command: {error}") from error
     if framed.format != FORMAT:
         raise BadCommand(f"format {framed.format}, wanted {FORMAT}")
--- a/packages/fleet/src/walnutpost/fleet/machine.py
+++ b/packages/fleet/src/walnutpost/fleet/machine.py
@@ -87,7 +87,7 @@
             kept = structs.asdict(_decoder.decode(data))
             held = kept.pop("table")
             table = Table.restore(held) if held else Table()
-        except (msgspec.MsgspecError, BadTable) as error:
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError, BadTable) as error:
             raise BadState(str(error)) from error
         # A version before wrote its dicts sorted: the oldest would no longer be the first.
         kept["answers"] = dict(sorted(kept["answers"].items(), key=lambda answer: answer[1].index))
--- a/packages/fleet/tests/test_fleet_table.py
+++ b/packages/fleet/tests/test_fleet_table.py
@@ -211,6 +211,21 @@
     assert Fleet.restore(b"").table.revision == 0
 
 
+def test_a_command_that_can_not_be_read_is_refused_and_ends_no_keeper() -> None:
+    """Text that is no UTF-8, and a command of a later version with more nested in it than can be read."""
+    history = History()
+    for data in (
+        encode(Halt("why")).replace(b"why", b"\xff\xfe\xfd"),
+        b"\x94\x01\x93\xa4Halt\xa0\xa0\x00" + b"\x91" * 100_000 + b"\x00",
+    ):
+        answer = history.fleet.apply(1, "", data)
+        assert not answer.done and "not a command" in answer.why
+    history.do(Halt("stopped"))
+    state = history.fleet.snapshot().replace(b"stopped", b"\xff\xfe\xfdpped")
+    with pytest.raises(BadState):
+        Fleet.restore(state)
+
+
 def test_a_table_that_moves_its_floor_does_so_at_the_same_entry_everywhere() -> None:
     history = History()
     history.fleets = [Fleet(table=Table(log_most=4)), Fleet(table=Table(log_most=4))]
--- a/packages/keeper/src/walnutpost/keeper/changes.py
+++ b/packages/keeper/src/walnutpost/keeper/changes.py
@@ -62,7 +62,7 @@
                 return wire.Told(known)
             table = self._fleet().table
             base = table.revision
-            errors = self._errors(table, order.ops)
+            errors = _overtaken(table, order) or self._errors(table, order.ops)
             if errors or order.dry:
                 told = self._confirm()
                 if told.why:
@@ -87,6 +87,16 @@
             return [f"change set: its check failed: {error!r}"]
 
 
+def _overtaken(table: Table, order: wire.SetOrder) -> list[str]:
+    """Keys that have changed since the asker read them: its change set would undo what it has not seen."""
+    held = [(op.key, table.entries.get(op.key)) for op in order.ops]
+    return [
+        f"{key}: found revision {entry.revision}, wanted none after {order.seen}: it has changed meanwhile"
+        for key, entry in held
+        if entry is not None and 0 < order.seen < entry.revision
+    ]
+
+
 def _refused(base: int, errors: Sequence[str]) -> wire.Told:
     why = errors[0] if len(errors) == 1 else f"{errors[0]}, and {len(errors) - 1} more"
     return wire.Told(Answer(False, base, why), errors=tuple(errors))
@@ -104,17 +114,11 @@
         if not self._taken:
             self._taken = True
             return
-        wait = self._loop.waiting()
-        self._waiting.append(wait)
-        try:
-            self._loop.park()  # `give` hands the turn over without setting it free
-        except BaseException:
-            if wait in self._waiting:
-                self._waiting.remove(wait)
-            raise
+        self._waiting.append(self._loop.waiting())
+        self._loop.park()  # `give` hands the turn over without setting it free
 
     def give(self) -> None:
         while self._waiting:
             if self._loop.wake(*self._waiting.popleft()):
-                return
+                return  # one that has given up waiting takes no turn with it
         self._taken = False
--- a/packages/keeper/src/walnutpost/keeper/client.py
+++ b/packages/keeper/src/walnutpost/keeper/client.py
@@ -54,19 +54,21 @@
         return self._from(keeper, f"{wire.HISTORY}?after={after}&most={most}", wire.History)
 
     def set_entries(
-        self, id: str, ops: Sequence[Op], dry: bool = False, operator: str = ""
+        self, id: str, ops: Sequence[Op], dry: bool = False, operator: str = "", seen: int = 0
     ) -> tuple[Answer, tuple[str, ...]]:
         """A change set for the agreed table, whole or not at all, and what its checks have against it. The
         answer's `index` is the revision that it came in with; where it is `dry` or refused, that of the table
-        which it was checked against. An `id` that was used before gets the answer of then."""
-        body = wire.encode(wire.SetOrder(id, tuple(ops), dry, operator))
+        which it was checked against. An `id` that was used before gets the answer of then. `seen`: refused
+        where one of these keys has changed since that revision, 0 for whatever stands."""
+        body = wire.encode(wire.SetOrder(id, tuple(ops), dry, operator, seen=seen))
         told = wire.decode(self._ask("POST", wire.CHANGE, body).body, wire.Told)
         assert told.answer is not None
         return told.answer, told.errors
 
-    def entries(self, kind: str = "") -> tuple[int, list[Entry]]:
-        """The agreed table's revision and entries by key, all or of one kind, as a quorum confirms."""
-        body = self._ask("GET", f"{wire.ENTRIES}?kind={quote(kind)}", b"").body
+    def entries(self, kind: str = "", key: str = "") -> tuple[int, list[Entry]]:
+        """The agreed table's revision and entries by key, all, of one kind, or that under `key` if there is
+        one, as a quorum confirms."""
+        body = self._ask("GET", f"{wire.ENTRIES}?kind={quote(kind)}&key={quote(key)}", b"").body
         told = wire.decode(body, wire.Entries)
         return told.revision, list(told.entries)
 
--- a/packages/keeper/src/walnutpost/keeper/process.py
+++ b/packages/keeper/src/walnutpost/keeper/process.py
@@ -339,7 +339,7 @@
                 case "POST", wire.CHANGE:
                     return self._told(self._changes.order(request.body))
                 case "POST", table.WATCH:
-                    return self.watches.answer(request.body)
+                    return self.watches.answer(request.body, exchange.stream)
                 case "POST", table.SUMS:
                     return self._sums(table.decode(request.body, table.Sums))
                 case "GET", table.STATUS:
@@ -387,13 +387,17 @@
         )
 
     def _entries(self, query: str) -> Response:
-        """Of one `kind`, or all."""
+        """Of one `kind`, the one under `key`, or all."""
         told = self._confirm()
         if told.why:
             return self._told(told)
-        kind = parse_qs(query).get("kind", [""])[0]
+        asked = parse_qs(query)
+        kind, only = (asked.get(name, [""])[0] for name in ("kind", "key"))
         held = self.fleet.table
-        keys = sorted(key for key in held.entries if not kind or key.startswith(f"{kind}/"))
+        if only:
+            keys = [only] if only in held.entries else []
+        else:
+            keys = sorted(key for key in held.entries if not kind or key.startswith(f"{kind}/"))
         body = wire.encode(wire.Entries(held.revision, tuple(held.entries[key] for key in keys)))
         if len(body) > wire.BODY_MOST:
             why = f"entries: found {len(body)} bytes, wanted {wire.BODY_MOST} at most: ask for one kind"
--- a/packages/keeper/src/walnutpost/keeper/wire.py
+++ b/packages/keeper/src/walnutpost/keeper/wire.py
@@ -49,13 +49,15 @@
 
 class SetOrder(Record, frozen=True):
     """A change set for the agreed table; the same `id` again is the same change set. `dry`: it is checked
-    and doesn't enter."""
+    and doesn't enter. `seen`: refused where one of its keys has changed since that revision, 0 for whatever
+    stands."""
 
     id: str
     ops: tuple[Op, ...]
     dry: bool = False
     operator: str = ""
     format: int = FORMAT
+    seen: int = 0
 
 
 class Report(Record, frozen=True):
@@ -124,7 +126,8 @@
 
 
 class Entries(Record, frozen=True):
-    """The agreed table's entries, all or those of one kind, by key, as a quorum confirmed at `revision`."""
+    """The agreed table's entries, all, those of one kind, or one, by key, as a quorum confirmed at
+    `revision`."""
 
     revision: int
     entries: tuple[Entry, ...]
@@ -142,7 +145,7 @@
     """Raises BadWire."""
     try:
         value = msgspec.msgpack.decode(data, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise BadWire(f"{kind.__name__}: {error}") from error
     form = getattr(value, "format", FORMAT)
     if form != FORMAT:
--- a/packages/keeper/tests/test_changes.py
+++ b/packages/keeper/tests/test_changes.py
@@ -145,6 +145,19 @@
     played(script)
 
 
+def test_keys_that_have_changed_since_they_were_read_are_named() -> None:
+    def script(world: World) -> None:
+        for n in (1, 2, 3):
+            world.order(f"{n}", Op(f"class/{n}", b"1"))
+        ops = (Op("class/1", b"2"), Op("class/3", b"2"), Op("class/4", b"2"))
+        told = world.changes.order(wire.encode(wire.SetOrder("x", ops, seen=2)))
+        assert told.errors == ("class/3: found revision 3, wanted none after 2: it has changed meanwhile",)
+        assert len(world.proposed) == 3
+        assert world.changes.order(wire.encode(wire.SetOrder("x", ops, seen=3))).answer == Answer(True, 4)
+
+    played(script)
+
+
 def test_one_after_the_other_in_the_order_of_asking_each_checked_with_the_one_before_it_in() -> None:
     def script(world: World) -> None:
         tasks = [world.loop.spawn(lambda n=n: world.order(f"{n}", Op(f"class/{n}", b"1"))) for n in range(20)]
--- a/packages/keeper/tests/test_keeper_table.py
+++ b/packages/keeper/tests/test_keeper_table.py
@@ -172,6 +172,14 @@
             page = watching.ask(hold=10 * SECOND)
         assert page is not None and [change.revision for change in page.changes] == [answer.index]
         assert not page.whole and watching.follower.table.entries["limit/a"].value == b"2"
+        task = keepers.loop.spawn(lambda: watching.ask(hold=10 * SECOND))
+        keepers.loop.sleep(100_000)
+        answer, _ = keepers.client(first, second).set_entries("held", [op("function/f", "x")])
+        later = Watching(keepers, first)
+        later.reach(answer.index)
+        assert later.ask(hold=4 * SECOND) is None and task.done, "it was held, and woken by the change"
+        page = task.join()
+        assert page is not None and page.revision == answer.index
         # And at another keeper it goes on where it is.
         watching.name = second
         answer, _ = keepers.client(first, second).set_entries("3", [op("limit/a", "3")])
@@ -392,9 +400,12 @@
             status, told = asked(follower, method, target, body)
             assert status == 421 and leader.encode() in told, target
             assert asked(leader, method, target, body)[0] == 200
-        for target in ("/table/1/sums", "/table/1/watch", "/table/1/change"):
+        for target in ("/table/1/sums", "/table/1/watch", "/table/1/change", "/fleet/1/commands"):
             for name in (leader, follower):
-                assert asked(name, "POST", target, b"\xc1 noise")[0] == 400, target
+                for noise in (b"\xc1 noise", b"\x81\xa2id\xa3\xff\xfe\xfd", b"\x91" * 100_000):
+                    assert asked(name, "POST", target, noise)[0] == 400, target
+        assert keepers.client().entries(key="limit/a")[1][0].value == b"1"
+        assert keepers.client().entries(key="limit/b")[1] == []
         assert keepers.client().status().relays[0][0] == "r"
 
     checked(tmp_path, script)
