--- a/benchmarks/table_days.py
+++ b/benchmarks/table_days.py
@@ -1,5 +1,5 @@
-"""Days of random faults between keepers, relays, front ends and hollow members: `python -m benchmarks.table_days SEED
-COUNT` plays COUNT days from SEED on, one after the other, and prints what each came to."""
+"""Days of random faults between keepers, relays, front ends and hollow members. `python -m
+benchmarks.table_days SEED COUNT` plays COUNT days from SEED on, one after the other, and prints each."""
 
 from __future__ import annotations
 
--- a/packages/trials/tests/test_table_days.py
+++ b/packages/trials/tests/test_table_days.py
@@ -1,5 +1,5 @@
-"""Keepers, relays, front ends under calls and hollow members as processes, with faults between them: who is told
-to act on a revision of the agreed table has written so before, and all act on the same table at the end."""
+"""Keepers, relays, front ends under calls and hollow members as processes, with faults between them: who is
+told to act on a revision of the agreed table has written so before, and all end on the same table."""
 
 from __future__ import annotations
 
