--- a/packages/daemon/src/walnutpost/daemon/settings.py
+++ b/packages/daemon/src/walnutpost/daemon/settings.py
@@ -158,7 +158,6 @@
         try:
             while self._all:
                 self._all = False
-                self._changed.clear()
                 entries = self.follower.table.entries
                 count, bad = self._judged(entries)
                 self._seen, self._count, self._bad = entries, count, bad
--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -18,7 +18,7 @@
 from test_functions_gone import EVENT, fate, killed
 from walnutpost.config.entries import FUNCTION, entries_of, value_of
 from walnutpost.config.model import FunctionLine
-from walnutpost.daemon.settings import DECODED_MOST, JUDGED_AT_ONCE, Functions, SettingsFollowing
+from walnutpost.daemon.settings import DECODED_MOST, JUDGED_AT_ONCE, KEEP_EVERY, Functions, SettingsFollowing
 from walnutpost.gateway import Function
 from walnutpost.http import Connection, Response
 from walnutpost.interface import RequestArrived, WorkersListed
@@ -371,6 +371,105 @@
     f.play(script)
 
 
+def test_what_comes_while_a_whole_table_is_judged_puts_no_part_of_it_in_force(tmp_path: Path) -> None:
+    f = Followed(tmp_path)
+
+    def script() -> None:
+        many = {FUNCTION + f"f{n}": Entry(FUNCTION + f"f{n}", line(2), 2) for n in range(500)}
+        many[FUNCTION + "ghost"] = Entry(FUNCTION + "ghost", line(1, **{"class": "nowhere"}), 2)
+        judged, wrong = [0], f.settings._wrong
+
+        def counted(entry: Entry) -> str:
+            judged[0] += 1
+            if judged[0] == 100:
+                f.relay.change([put("left", 9)])
+                f.until(lambda: f.settings.follower.table.revision == 51)
+            return wrong(entry)
+
+        f.settings._wrong = counted  # type: ignore[method-assign]
+        f.relay.table = Table.of({**f.relay.table.entries, **many}, 50)
+        f.relay.watch.changed()
+        seen = set()
+        while f.relay.questions[-1].revision < 51 or f.settings._judge is not None:
+            seen.add((f.settings.follower.in_force, f.front.catalogue.functions["left"].version))
+            f.loop.sleep(1000)
+        f.loop.sleep(5 * SECOND)
+        seen.add((f.settings.follower.in_force, f.front.catalogue.functions["left"].version))
+        assert seen == {(1, "1")} and "ghost" in f.relay.questions[-1].stuck
+        f.change(gone("ghost"))
+        assert f.answers_as("left") == "9" and len(f.front.catalogue.functions) == 505
+
+    f.play(script)
+
+
+def test_a_flipped_entry_is_loaded_anew_and_what_is_kept_is_whole_again(tmp_path: Path) -> None:
+    f = Followed(tmp_path)
+
+    def script() -> None:
+        f.change(put("left", 2))
+        table = f.settings.follower.table
+        key = FUNCTION + "left"
+        flipped = Entry(key, line(3), table.entries[key].revision)
+        table.entries = table.entries.set(key, flipped)
+        f.change(put("right", 2))
+        f.until(lambda: f.said("table", "repaired: 1 keys") == 1)
+        assert (f.answers_as("left"), f.answers_as("right")) == ("2", "2")
+        f.loop.sleep(30 * SECOND)
+        kept = Table.restore((tmp_path / "calls.db.table").read_bytes())
+        assert kept.revision == 3 and kept.entries[key].value == line(2)
+
+    f.play(script)
+
+
+def test_a_flipped_entry_that_was_written_is_written_anew_once_it_is_found(tmp_path: Path) -> None:
+    f = Followed(tmp_path)
+    kept = tmp_path / "calls.db.table"
+
+    def script() -> None:
+        f.change(put("left", 2))
+        f.loop.sleep(3 * KEEP_EVERY)  # counted, and written
+        f.change(put("right", 2))
+        f.change(put("right", 3))  # counted a few seconds after the one before
+        table, key = f.settings.follower.table, FUNCTION + "left"
+        table.entries = table.entries.set(key, Entry(key, line(7), table.entries[key].revision))
+        f.settings._written, f.settings._acted = 0, table
+        f.settings._write()
+        f.until(lambda: f.said("table", "repaired: 1 keys") == 1)
+        assert f.answers_as("left") == "2" and f.settings.follower.in_force == 4
+        f.loop.sleep(3 * KEEP_EVERY)
+        assert Table.restore(kept.read_bytes()).entries[key].value == line(2)
+
+    f.play(script)
+
+
+def test_the_table_is_written_now_and_then_and_at_the_end(tmp_path: Path) -> None:
+    f = Followed(tmp_path)
+
+    def kept() -> int:
+        return Table.restore((tmp_path / "calls.db.table").read_bytes()).revision
+
+    def script() -> None:
+        f.until(lambda: (tmp_path / "calls.db.table").exists())
+        written = {kept()}
+        for version in range(2, 102):
+            f.change(put("left", version))
+            f.loop.sleep(100_000)
+            written.add(kept())
+        assert len(written) <= 3
+        f.loop.sleep(3 * KEEP_EVERY)
+        assert kept() == 101
+        f.change(put("left", 102))
+        f.loop.sleep(100_000)
+        assert kept() == 102  # nothing was written for long
+        f.change(put("left", 103))
+        f.front.stop()
+        f.front.close()
+        assert kept() == 103
+        f.front = f.start_front()
+
+    f.play(script)
+
+
 def test_functions_are_decoded_as_they_are_asked_for_and_few_are_kept() -> None:
     functions = Functions({}, CLASSES)
     made = {FUNCTION + f"f{n}": Entry(FUNCTION + f"f{n}", line(n), 1) for n in range(3 * DECODED_MOST)}
