watch: a server whose word is old, or that stays behind, is left for another

A relay or keeper that is cut off from the others goes on answering: its members stayed with it and were told an age that grew, while others knew more. Now a word older than 5 s (at relays 2.5 s, whose questions are held for 1 s) or a hold in which the server was behind its asker counts as a failure. Where nobody's word is new enough each is tried once, then one in 10 s, so an outage makes no storm; lines of the log stay bounded.

--- a/packages/relay/src/walnutpost/relay/process.py
+++ b/packages/relay/src/walnutpost/relay/process.py
@@ -22,6 +22,7 @@
 Address = tuple[str, int]
 SECOND = 1_000_000
 RATE = 4_000_000  # bytes a second from a keeper: a whole table within seconds of a start
+HOLD, STALE = SECOND, 5 * SECOND // 2  # short: a keeper that is lost or cut off is left before members notice
 GATHER = 200_000  # of changes in one answer
 SOON, REST = SECOND // 4, 2 * SECOND  # between two reports, where there is news and where there is none
 PATIENCE, EACH = 3 * SECOND, SECOND  # for the leader's answer to a report, and one keeper's
@@ -55,7 +56,7 @@
         self.follower = Follower("", self.incarnation, loop.now(), LOG_MOST, LOG_BYTES)
         choice = Choice(name, dict.fromkeys(keepers, ""), "", Random(seed))
         ways = {keeper: lambda at=at: at for keeper, at in keepers.items()}
-        self.watcher = Watcher(loop, ways, self.follower, choice, self._taken, log, rate=RATE)
+        self.watcher = Watcher(loop, ways, self.follower, choice, self._taken, log, HOLD, RATE, STALE)
         self._server = serve_on(loop, listen, self._serve, self._refusal, LIMITS, role="relay")
         self.roster = Roster(name, self.incarnation, address or "{}:{}".format(*self.address))
         self.watches = WatchServer(loop, self._table, self.watcher.age, self._said, GATHER, gone=self._gone)
--- a/packages/relay/tests/test_relay.py
+++ b/packages/relay/tests/test_relay.py
@@ -39,6 +39,7 @@
         self.tables = {name: copy(table) for name in names}
         self.vouched = dict.fromkeys(names, loop.now())
         self.alive = True
+        self.cut: set[str] = set()  # from the other keepers, not from relays
         self.asked: list[Question] = []
         self.sums: list[tuple[int, Sums]] = []
         self.followers: dict[str, str] = {}
@@ -65,7 +66,7 @@
     def _look(self) -> None:
         """What a leader agrees with the others on."""
         if self.alive:
-            self.vouched = dict.fromkeys(self.vouched, self.loop.now())
+            self.vouched |= dict.fromkeys(self.vouched.keys() - self.cut, self.loop.now())
             self.followers |= self.standings.unknown(self.loop.now())
             for member in self.standings.ended():
                 self.followers.pop(member, None)
@@ -87,8 +88,9 @@
     def change(self, wanted: list[Op]) -> int:
         revision = self.table.revision + 1
         for name, table in self.tables.items():
-            table.change(revision, wanted)
-            self.watches[name].changed()
+            if name not in self.cut:
+                table.change(revision, wanted)
+                self.watches[name].changed()
         self.standings.agreed(self.loop.now(), revision)
         return revision
 
@@ -341,6 +343,25 @@
     playing(script)
 
 
+def test_a_keeper_cut_off_from_the_others_is_left_before_members_notice() -> None:
+    def script(keepers: Keepers, tier: Tier) -> None:
+        loop = keepers.loop
+        moves = [m.watcher.counts.moves for m in tier.members]
+        cut = tier.relays["r1"].watcher.server
+        keepers.cut.add(cut)
+        if keepers.leader == cut:
+            keepers.elect(next(name for name in keepers.tables if name != cut))
+        until(loop, lambda: all(relay.watcher.server != cut for relay in tier.relays.values()))
+        revision = keepers.change(ops(1))
+        until(loop, tier.in_force)
+        loop.sleep(20 * SECOND)
+        assert keepers.tables[cut].revision < revision
+        assert moves == [m.watcher.counts.moves for m in tier.members]
+        assert not any(m.log.count("control not heard for 9 s") for m in tier.members)
+
+    playing(script)
+
+
 def test_a_keeper_lost_is_left_for_another() -> None:
     def script(keepers: Keepers, tier: Tier) -> None:
         loop = keepers.loop
--- a/packages/watch/src/walnutpost/watch/client.py
+++ b/packages/watch/src/walnutpost/watch/client.py
@@ -40,6 +40,8 @@
 BODY_TIME = 8_000_000  # for the rest of an answer that has begun, as on a slow way
 LEAVE_TIME = 500_000
 LOOK = 500_000  # how often it is seen whether control was heard
+STALE = 5_000_000  # a server's word older than this is not enough: found out of at most one hold later
+STALE_PAUSE = 10_000_000  # between moves, once all servers were found to have nothing better
 FLOOR_LEAST, FLOOR_MOST = 50_000, 2_000_000
 NOTES_MOST, NOTES_TIME = 10, 60_000_000  # lines of the log on what was found wrong, and in which time
 HEADERS = {"Content-Type": "application/msgpack", "Accept-Encoding": CODING}
@@ -84,8 +86,9 @@
     acknowledges what came with the answer before. `on_taken` is called between the two, must not wait,
     and tells the follower what is acted on by then.
 
-    A server that doesn't answer within the hold and ANSWER_TIME, refuses, or breaks off is left for the
-    one that `choice` names. `servers`: where each is reached now; OSError from it counts as not reached.
+    A server that doesn't answer within the hold and ANSWER_TIME, refuses, breaks off, or whose word is
+    older than `stale_us` is left for the one that `choice` names. `servers`: where each is reached now;
+    OSError from it counts as not reached.
     """
 
     def __init__(
@@ -98,9 +101,11 @@
         log: Any,
         hold_us: int = 3_000_000,
         rate: int = RATE,
+        stale_us: int = STALE,
     ) -> None:
         self._loop, self._servers, self._follower, self._choice = loop, servers, follower, choice
-        self._on_taken, self._log, self._hold = on_taken, log, hold_us
+        self._on_taken, self._log, self._hold, self._stale = on_taken, log, hold_us, stale_us
+        self._stale_moves, self._stale_at = 0, 0  # since one's word was new enough, and the last of them
         self.counts = Counts()
         self.server = ""  # that is asked, or was last
         self._debt = Debt(rate, BURST, loop.now())
@@ -171,7 +176,7 @@
 
     def _move(self, error: Exception) -> None:
         """After `error`: to the next server, when its time has come."""
-        if self._heard or not self.counts.moves:  # once, however many refuse after it
+        if (self._heard or not self.counts.moves) and self._may_log():  # once, however many refuse after it
             self._log.warning("watch lost", server=self.server, why=f"{type(error).__name__} {error}")
         server, wait = self._choice.failed(self._loop.now(), self.server)
         self._drop()
@@ -211,6 +216,7 @@
             before, asked = _place(question), self._loop.now()
             page, age = self._ask(question)
             self._take(page, age)
+            self._judge(age, question.hold)
             held = self._loop.now() - asked
             if _place(self._follower.question(0)) != before or (question.hold and 2 * held >= question.hold):
                 self._floor.progress()
@@ -249,7 +255,8 @@
         now, follower = self._loop.now(), self._follower
         if not self._heard:
             self._heard = True
-            self._log.info("watch", server=self.server, revision=follower.table.revision)
+            if self._may_log():
+                self._log.info("watch", server=self.server, revision=follower.table.revision)
         taken = follower.answered(now, page, age)
         self._more = page is not None and follower.table.revision < page.revision
         if age is not None and not self._more and not follower.loading:
@@ -257,6 +264,20 @@
         self._tell(taken)
         if taken.elsewhere:
             raise NotServed("what it tells does not hold together")
+
+    def _judge(self, age: int | None, hold: int) -> None:
+        """A server can answer and be cut off from the others, or far behind: its followers must not stay with
+        it while another one knows more. Where none does they go round, but seldom."""
+        now, others = self._loop.now(), len(self._servers) - 1
+        fresh = age is not None and age <= self._stale
+        if fresh:
+            self._stale_moves = 0
+        due = self._stale_moves < others or now - self._stale_at >= STALE_PAUSE
+        # With nothing vouched for it has a hold's time to catch up.
+        if not fresh and others and due and (age is not None or hold):
+            self._stale_moves, self._stale_at = self._stale_moves + 1, now
+            told = "nothing newer" if age is None else f"what was vouched for {age / 1e6:.1f} s ago"
+            raise NotServed(f"it tells {told}")
         self._choice.answered(now)
 
     def _may_log(self) -> bool:
--- a/packages/watch/tests/test_client.py
+++ b/packages/watch/tests/test_client.py
@@ -194,6 +194,47 @@
     play(script)
 
 
+@pytest.mark.parametrize("behind", [False, True])
+def test_a_server_that_answers_and_is_cut_off_is_left_before_its_members_are_late(behind: bool) -> None:
+    """Its word grows old, or it is behind for good; the other one is as new as can be."""
+
+    def script(loop: Loop) -> None:
+        vouched = loop.now()
+        cut = Served(loop, filled(3), lambda: loop.now() - vouched)
+        good = Served(loop, filled(3))
+        members = [Member(loop, both(cut, good), name, n) for n, name in enumerate(homed("a", 6))]
+        until(loop, lambda: cut.watch.held == 6)
+        if behind:
+            good.change(ops(1))
+            for member in members:
+                member.follower.table = copy(good.table or filled(0))
+        until(loop, lambda: good.watch.held == 6)
+        assert all(m.same(good.table) for m in members)
+        loop.sleep(20 * SECOND)
+        assert {m.watcher.counts.moves for m in members} == {1} and good.watch.held == 6
+        assert not any(m.log.count("control not heard for 9 s") for m in members)
+
+    play(script)
+
+
+def test_where_nobody_s_word_is_new_enough_they_go_round_but_seldom() -> None:
+    def script(loop: Loop) -> None:
+        began = loop.now()
+        servers = [Served(loop, filled(3), lambda: loop.now() - began) for _ in range(4)]
+        member = Member(loop, {f"s{n}": where(served) for n, served in enumerate(servers)})
+        loop.sleep(300 * SECOND)
+        assert 25 <= member.watcher.counts.moves <= 3 + 30
+        assert all(served.questions for served in servers)
+        assert member.watcher.counts.questions < 300
+        assert member.log.count("control not heard for 9 s") == 1 and len(member.log.lines) < 60
+        began = loop.now() + 300 * SECOND  # a leader is back
+        moves = member.watcher.counts.moves
+        loop.sleep(30 * SECOND)
+        assert member.watcher.counts.moves - moves <= 1 and member.log.count("control heard again") == 1
+
+    play(script)
+
+
 def test_an_address_that_is_not_known_counts_as_not_reached() -> None:
     def script(loop: Loop) -> None:
         def unknown() -> tuple[str, int]:
