--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,18 +2,27 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import pytest
 from msgspec import to_builtins
 
-from benchmarks.scale import made
+from benchmarks.scale import hollow, made
 from benchmarks.scale.__main__ import ALL, run, table
 from benchmarks.scale.axes import AXES
+from benchmarks.scale.followers import delays, parts, spread
 from benchmarks.scale.machine import about
 from benchmarks.scale.slopes import TooFewSizes, slope
 from walnutpost.config import Config, parse
+from walnutpost.config.entries import entries_of
 from walnutpost.fleet import Clear, Fleet, encode, sight_of
+from walnutpost.http import Exchange, Response
+from walnutpost.http.server import serve_on
 from walnutpost.keeper import wire
 from walnutpost.keeper.wire import Told
+from walnutpost.loop import Loop
+from walnutpost.table import Op, Question, Table
+from walnutpost.watch import WatchServer
 
 
 def test_a_line_has_its_slope_and_an_exponent_of_one() -> None:
@@ -118,3 +127,73 @@
     text = table("axis", found)
     assert "| thing | ms | 20 | 40 | 80 | 160 | 156 to 164 | 2 ± " in text
     assert "1.00 ± 0.00" in text
+
+
+# Followers
+
+
+def test_the_time_until_a_change_is_acted_on_counts_from_its_order() -> None:
+    changed = [(5, 10.0, 10.2), (7, 11.0, 11.1), (9, 12.0, 12.1)]
+    assert delays(changed, [(5, 10.5), (8, 11.25)]) == [0.5, 0.25, float("inf")]
+    assert delays(changed, [(9, 12.5)]) == [2.5, 1.5, 0.5]
+    assert delays(changed, []) == [float("inf")] * 3
+
+
+def test_quantiles_are_of_values_that_were_seen() -> None:
+    values = [n / 1000 for n in range(1000)]
+    assert spread(values) == {"p50": 0.5, "p99": 0.99, "p999": 0.999, "max": 0.999, "n": 1000}
+    assert spread([2.0])["p999"] == 2.0
+
+
+def test_hollow_members_act_on_each_change_by_one_encoded_page(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The real watch over real sockets: what is sent, held and told, and that it is the same at all."""
+    monkeypatch.setattr(hollow, "SPREAD", 1)
+    loop, table, said = Loop(), Table(), list[Question]()
+    values = entries_of(made.config(40).site)
+    table.change(1, [Op(key, value) for key, value in values.items()])
+    server = WatchServer(loop, lambda: table, lambda: 0, said.append, gather_us=0)
+
+    def serve(exchange: Exchange) -> Response:
+        return server.answer(exchange.request.body)
+
+    def until(ready: Callable[[], bool]) -> None:
+        with loop.timeout(20_000_000):
+            while not ready():
+                loop.sleep(5_000)
+
+    def script() -> None:
+        at = "{}:{}".format(*serve_on(loop, ("127.0.0.1", 0), serve, lambda e: Response(400)).address)
+        kept = Table.restore(table.snapshot())
+        members = [hollow.Member(loop, f"h{n}", {"r1": at}, kept, hollow.Quiet()) for n in range(12)]
+        tasks = [loop.spawn(member.run) for member in members]
+        until(lambda: server.held == 12)
+        encoded, answered = server.counts.encoded, server.counts.answered
+        assert answered == 0
+        key = next(key for key in values if key.startswith("function/"))
+        for revision in (2, 3):
+            table.change(revision, [Op(key, values[key])])
+            server.changed()
+            until(lambda: server.held == 12 and all(m.follower.in_force == table.revision for m in members))
+        assert server.counts.encoded - encoded == 2 and server.counts.answered == 24
+        assert server.counts.bytes < 24 * 400
+        told = [member.told() for member in members]
+        assert {t["digest"] for t in told} == {table.digest}
+        assert {t["entries"] for t in told} == {len(values)} and {t["revision"] for t in told} == {3}
+        assert [[revision for revision, _ in t["acted"]] for t in told] == [[2, 3]] * 12
+        assert {question.member for question in said} == {f"h{n}" for n in range(12)}
+        assert {question.in_force for question in said if question.revision == 3} == {3}
+        assert {t["moves"] for t in told} == {0}
+        for task in tasks:
+            task.cancel()
+
+    loop.run(script)
+
+
+def test_a_fleet_of_any_size_is_told_in_change_sets_that_may_enter() -> None:
+    values = entries_of(made.config(3000).site)
+    sets = list(parts(values))
+    assert {op.key for ops in sets for op in ops} == set(values)
+    table = Table()
+    for revision, ops in enumerate(sets, 1):
+        table.change(revision, ops)
+    assert len(table.entries) == len(values) == 3402
