config set: what others have set in between is not undone; one entry is asked for, not all

Change: the keepers are told which revision the changes were worked out on, and refuse keys changed since.

--- a/packages/cli/src/walnutpost/cli/settings.py
+++ b/packages/cli/src/walnutpost/cli/settings.py
@@ -37,9 +37,9 @@
     """
 
 
-def agreed(client: KeeperClient, kind: str = "") -> tuple[int, dict[str, bytes]]:
-    """The newest revision and what stands at it, by key."""
-    revision, entries = client.entries(kind)
+def agreed(client: KeeperClient, key: str = "") -> tuple[int, dict[str, bytes]]:
+    """The newest revision and what stands at it, by key; that under `key` alone where one is given."""
+    revision, entries = client.entries(key=key)
     return revision, {entry.key: entry.value for entry in entries}
 
 
@@ -120,7 +120,7 @@
 
     def work(client: KeeperClient) -> None:
         if name is not None:
-            revision, held = agreed(client, FUNCTION[:-1])
+            revision, held = agreed(client, FUNCTION + name)
             ops: tuple[Op, ...] = (_one(held, name, rest, delete),)
             ops = tuple(op for op in ops if op.value is None or held.get(op.key) != op.value)
         else:
@@ -137,7 +137,7 @@
             click.echo(in_words(*line))
         if len(ops) > SHOWN_MOST:
             click.echo(f"and {len(ops) - SHOWN_MOST} more, as `config diff` shows them")
-        _agree(client, known, ops, dry, in_parts, operator)
+        _agree(client, known, revision, ops, dry, in_parts, operator)
 
     with_keepers(config, log, work)
 
@@ -151,8 +151,15 @@
 
 
 def _agree(
-    client: KeeperClient, id: str, ops: tuple[Op, ...], dry: bool, in_parts: bool, operator: str
+    client: KeeperClient,
+    id: str,
+    seen: int,
+    ops: tuple[Op, ...],
+    dry: bool,
+    in_parts: bool,
+    operator: str,
 ) -> None:
+    """`seen`: the revision that the changes were worked out on: what others have set since is not undone."""
     parts = parts_of(ops) if in_parts else [ops]
     if len(parts) > 1:
         click.echo(f"not one change set but {len(parts)}: each is in force by itself", err=True)
@@ -161,7 +168,7 @@
         if dry and number > 1:  # it rests on the ones before, which have not entered
             click.echo(f"parts 2 to {len(parts)}: not checked, since they rest on the first", err=True)
             return
-        answer, errors = client.set_entries(_own_id(id, part), part, dry, operator)
+        answer, errors = client.set_entries(_own_id(id, part), part, dry, operator, seen)
         if not answer.done:
             stand = f"; parts before it stand, up to part {number - 1}" if number > 1 else ""
             raise Stop(*(errors or [answer.why]), f"{which}not done, nothing of it has changed{stand}")
--- a/packages/cli/src/walnutpost/cli/settings_shown.py
+++ b/packages/cli/src/walnutpost/cli/settings_shown.py
@@ -42,8 +42,8 @@
 def get(log: Any, config: Path, key: str | None, form: str) -> None:
     """What is agreed on: all of it, or of one KEY as function/NAME, or of one kind as function."""
     kind, name = (key or "").partition("/")[::2]
-    revision, entries = with_keepers(config, log, lambda client: client.entries(kind))
-    found = [entry for entry in entries if not name or entry.key == key]
+    asked = {"key": key} if key is not None and name else {"kind": kind}
+    revision, found = with_keepers(config, log, lambda client: client.entries(**asked))
     if key is not None and not found:
         end(f"{key}: found nothing under it at revision {revision}; wanted a key that is agreed on", code=1)
     if form == "site":
@@ -75,7 +75,7 @@
 def diff(log: Any, config: Path, file: Path, form: str) -> None:
     """What `config set KEEPERS FILE` would change. Exits 1 where there is anything."""
     wanted = wanted_by(file)
-    revision, held = with_keepers(config, log, agreed)
+    revision, held = with_keepers(config, log, lambda client: agreed(client))
     found = changes_of(held, differences(held, wanted))
     if form == "json":
         told = [{"key": key, "agreed": was, "file": now} for key, was, now in found]
--- a/packages/cli/tests/test_settings.py
+++ b/packages/cli/tests/test_settings.py
@@ -20,8 +20,10 @@
 from walnutpost.cli.settings import in_words
 from walnutpost.cli.settings_shown import _acting
 from walnutpost.config import Config, parse
-from walnutpost.config.entries import entries_of
-from walnutpost.table import OPS_MOST, MemberStatus, Status
+from walnutpost.config.entries import entries_of, value_of
+from walnutpost.config.model import FunctionLine
+from walnutpost.keeper import KeeperClient
+from walnutpost.table import OPS_MOST, Entry, MemberStatus, Op, Status
 
 SITE = BASE["site"]
 PRICE, RESERVE = SITE["functions"]["price"], SITE["functions"]["reserve"]
@@ -179,6 +181,28 @@
     assert agreed.get() == before
 
 
+def test_what_another_operator_sets_in_between_is_not_undone(
+    agreed: Agreed, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Between the look at a line and its change someone else's change of it comes in, once."""
+    asked = KeeperClient.entries
+    other = Op("function/price", value_of(FunctionLine.model_validate(PRICE | {"memory_mb": 999})))
+
+    def overtaken(client: KeeperClient, kind: str = "", key: str = "") -> tuple[int, list[Entry]]:
+        told = asked(client, kind, key)
+        monkeypatch.setattr(KeeperClient, "entries", asked)
+        assert client.set_entries("other", [other])[0].done
+        return told
+
+    monkeypatch.setattr(KeeperClient, "entries", overtaken)
+    refused = agreed("set", "--function", "price", "lanes=9")
+    assert refused.exit_code == 1 and "function/price: found revision" in refused.stderr
+    assert "changed meanwhile" in refused.stderr
+    assert agreed("set", "--function", "price", "lanes=9").exit_code == 0
+    line = agreed.get()["entries"]["function/price"]["value"]
+    assert (line["lanes"], line["memory_mb"]) == (9, 999)
+
+
 def test_what_members_take_up_at_a_start_only_is_refused_and_the_functions_alone_are_not(
     agreed: Agreed,
 ) -> None:
