Tests of the config commands share a keeper for the module

Cause: each started one of its own, 4 to 9 s of a busy machine apiece. Change: each test begins with the settings of BASE agreed on, whatever the one before has left; the history is looked at from there on; without a quorum no keeper is started at all.

--- a/packages/cli/tests/test_settings.py
+++ b/packages/cli/tests/test_settings.py
@@ -79,17 +79,23 @@
         return revision
 
 
-@pytest.fixture
-def agreed(tmp_path: Path) -> Iterator[Agreed]:
-    """With the settings of BASE agreed on."""
-    agreed = Agreed(tmp_path)
+@pytest.fixture(scope="module")
+def keeper(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Agreed]:
+    """One for the module: a process takes longer to start than all that is asked of it."""
+    keeper = Agreed(tmp_path_factory.mktemp("agreed"))
     try:
-        done = agreed("set", agreed.written("site.json5"), "--operator", "anna")
-        assert done.exit_code == 0, (done.output, (tmp_path / "keeper.log").read_text())
-        yield agreed
+        yield keeper
     finally:
-        agreed.process.terminate()
-        agreed.process.wait(20)
+        keeper.process.terminate()
+        keeper.process.wait(20)
+
+
+@pytest.fixture
+def agreed(keeper: Agreed) -> Agreed:
+    """With the settings of BASE agreed on, whatever the test before has left."""
+    done = keeper("set", keeper.written("site.json5"))
+    assert done.exit_code == 0, (done.output, (keeper.folder / "keeper.log").read_text())
+    return keeper
 
 
 def test_a_file_is_agreed_on_as_what_it_changes(agreed: Agreed) -> None:
@@ -253,10 +259,12 @@
 
 
 def test_the_history_tells_who_changed_which_keys_and_when(agreed: Agreed) -> None:
+    before = agreed.revision
+    agreed("set", "--function", "price", "lanes=5", "--operator", "anna")
     first = agreed.revision
     agreed("set", "--function", "price", "lanes=4", "--operator", "ben")
     agreed("set", "--function", "reserve", "--delete", "--operator", "")
-    told = json.loads(agreed("history", "--format", "json").stdout)
+    told = json.loads(agreed("history", "--after", before, "--format", "json").stdout)
     assert [(c["operator"], c["agreed on"]) for c in told["changes"]] == [
         *(("anna", "yes"), ("ben", "yes"), ("", "yes"))
     ]
@@ -292,13 +300,13 @@
     assert _acting(Status(5, 0, 0, 1, 2, 5, (), (), ()), ("a", "c")) == ["a", "c"]
 
 
-def test_without_a_quorum_commands_end_with_3(agreed: Agreed, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_without_a_quorum_commands_end_with_3(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("walnutpost.cli.fleet.PATIENCE", 500_000)
-    agreed.process.terminate()
-    agreed.process.wait(20)
-    file = agreed.folder / "site.json5"
-    for command in (["status"], ["get"], ["history"], ["diff", file], ["set", file]):
-        ended = agreed(command[0], *command[1:])  # type: ignore[arg-type]
+    nobody, file = tmp_path / "keepers.json5", tmp_path / "site.json5"
+    nobody.write_text(json.dumps({"keepers": [{"name": "k1", "address": free_address()}]}))
+    file.write_text(json.dumps(BASE))
+    for command, *args in (["status"], ["get"], ["history"], ["diff", str(file)], ["set", str(file)]):
+        ended = CliRunner().invoke(main, ["config", command, str(nobody), *args])
         assert ended.exit_code == 3 and "no quorum of the keepers answered" in ended.stderr
 
 
