--- a/packages/keeper/src/walnutpost/keeper/wire.py
+++ b/packages/keeper/src/walnutpost/keeper/wire.py
@@ -20,7 +20,7 @@
     "/fleet/1/history",
 )
 CHANGE, ENTRIES = "/table/1/change", "/table/1/entries"  # what relays ask is in table/messages.py
-BODY_MOST = 32 << 20  # a whole state with the versions it keeps
+BODY_MOST = 64 << 20  # a whole state with the versions it keeps and its table: 20 MB at 38,000 functions
 
 
 class BadWire(Exception):
