The followed table is written at most every 30 s: control within its share in a burst

A process that is killed and starts without any relay may so act on a table up to 30 s older; one that stops writes its last.

--- a/packages/daemon/src/walnutpost/daemon/settings.py
+++ b/packages/daemon/src/walnutpost/daemon/settings.py
@@ -25,7 +25,7 @@
 DECODED_MOST = 1024  # functions whose entries are kept decoded: some 400 KB
 JUDGED_AT_ONCE = 50  # entries of a whole table, a millisecond, before others get their turn
 FIRST_ANSWER = SECOND  # how long a start waits for a relay
-KEEP_EVERY = 10 * SECOND  # between two writings of the table: 38,000 functions are 5 MB
+KEEP_EVERY = 30 * SECOND  # between two writings of the table: 38,000 functions take 80 ms of a core
 WHY_MOST = 300  # characters: it goes with each question until it is mended
 
 
