watch: tests of an answer's age and of what is vouched for within a load fail without them

Two defences could be put out without a red test: that an answer's age counts from the asking, and that nothing is vouched for before all of it is held. The first looked at an age that grows by itself; now each answer's is looked at. 85 tests of watch pass.

--- a/packages/watch/tests/test_client.py
+++ b/packages/watch/tests/test_client.py
@@ -14,7 +14,7 @@
 
 from walnutpost.http import Response, encode_response
 from walnutpost.loop import Listener, Loop, Stream
-from walnutpost.table import AGE_HEADER, ChangeSet, Entry, Op, Page, Question, encode, owed
+from walnutpost.table import AGE_HEADER, ChangeSet, Entry, Op, Page, Question, Table, Taken, encode, owed
 from walnutpost.table.choice import order
 from walnutpost.watch import HELD_HEADER
 from walnutpost.watch.client import BODY_MOST, BURST, RATE
@@ -668,8 +668,6 @@
 
 def test_an_answer_that_lay_on_its_way_is_as_old_as_that() -> None:
     def script(loop: Loop) -> None:
-        member: Member | None = None
-
         def late(question: Question) -> Response:
             if question.hold:
                 loop.sleep(SECOND)
@@ -678,10 +676,41 @@
 
         raw = Raw(loop, late)
         member = Member(loop, {"a": where(raw)})
-        until(loop, lambda: raw.questions and raw.questions[-1].hold)
-        loop.sleep(1_500_000)
-        assert member.watcher.complete
-        assert member.watcher.age() >= SECOND
+        ages: list[int | None] = []
+        answered = member.follower.answered
+
+        def noted(now: int, page: Page | None, age: int | None) -> Taken:
+            ages.append(age)
+            return answered(now, page, age)
+
+        member.follower.answered = noted  # type: ignore[method-assign]
+        until(loop, lambda: len(ages) >= 3)
+        assert ages[0] is not None and ages[0] < SECOND // 10
+        # Asked two seconds ago and held for one: what it tells may be a second old.
+        assert all(age is not None and SECOND <= age < SECOND + SECOND // 10 for age in ages[1:])
+
+    play(script)
+
+
+def test_nothing_is_vouched_for_before_all_of_it_is_held() -> None:
+    """A relay in the middle of a whole state, and one in the middle of what it missed."""
+
+    def script(loop: Loop) -> None:
+        table = filled(3)
+        behind = copy(table)
+        for n in range(100):
+            table.change(table.revision + 1, ops(n * 10, 10, 600))
+        for held, wanted in ((Table(), large(2000)), (behind, table)):
+            served = Served(loop, wanted)
+            member = Member(loop, {"a": where(served)})
+            member.follower.table = held
+            pages = 0
+            while not member.same(wanted):
+                assert not member.watcher.complete
+                pages += 1
+                loop.sleep(SECOND)
+            until(loop, lambda m=member: m.watcher.complete)  # type: ignore[misc]
+            assert pages > 5
 
     play(script)
 
