--- a/packages/watch/tests/test_client.py
+++ b/packages/watch/tests/test_client.py
@@ -194,6 +194,22 @@
     play(script)
 
 
+def test_a_server_whose_whole_state_is_not_the_agreed_one_is_left() -> None:
+    def script(loop: Loop) -> None:
+        table = large(50)
+        entries = tuple(replace(table.entries[key], value=b"other") for key in sorted(table.entries))
+        page = Page(
+            table.revision, table.digest, table.floor, whole=True, entries=entries, done=True, after=""
+        )
+        bad, good = Raw(loop, lambda question: Response(200, HEADERS, encode(page))), Served(loop, table)
+        member = Member(loop, both(bad, good), homed("a", 1)[0])
+        until(loop, lambda: member.same(table))
+        assert member.watcher.counts.moves == 1 and member.acted == [table.revision]
+        assert member.table.entries == table.entries
+
+    play(script)
+
+
 @pytest.mark.parametrize("behind", [False, True])
 def test_a_server_that_answers_and_is_cut_off_is_left_before_its_members_are_late(behind: bool) -> None:
     """Its word grows old, or it is behind for good; the other one is as new as can be."""
