A deferred call whose function is not heard of yet waits for the agreed settings

Deferred.recover took a function that wasn't there for one that had been removed.

Change: while the table was not heard of by this process, such a call stays open; it is run, told of the removal, stopped by its owner or timed out as any other. Other calls are taken up at once as before.

--- a/packages/daemon/src/walnutpost/daemon/deferred.py
+++ b/packages/daemon/src/walnutpost/daemon/deferred.py
@@ -38,6 +38,7 @@
 SAVE_AGAIN = 200_000  # between tries to write a fate down; it is told from memory meanwhile
 STORE_RETRY_AFTER = 1_000_000  # what a client is told to wait when the store takes nothing
 PURGE_EVERY = 60_000_000
+LOOK_AGAIN = 50_000  # between two looks whether a function has come that a call waits for
 UNKNOWN_AGAIN = 1_000_000  # until a schedule asks again for a function that is configured no more
 
 
@@ -73,6 +74,7 @@
         self._store = store
         self._catalogue = catalogue
         self._keep_for = keep_for
+        self._waiting: dict[str, _Open] = {}  # found at the start, and not yet run or told
         self._log = log
         self._by_name: dict[tuple[str, str], _Open] = {}
         self._by_id: dict[str, _Open] = {}
@@ -290,7 +292,10 @@
         if entry is None or entry.execution.function != function:
             return self.fate(function, ident)
         entry.durable.wait()
-        self._core.feed(CallStopped(entry.ticket))
+        if self._waiting.pop(ident, None) is not None:
+            self._conclude(entry, Failed(Failure.STOPPED, "stopped by its owner"))
+        else:
+            self._core.feed(CallStopped(entry.ticket))
         return self._shown(entry)
 
     def list(self, wanted: Listing) -> tuple[list[Execution], bool]:
@@ -298,32 +303,49 @@
 
     # Starting and tidying
 
-    def recover(self) -> int:
-        """Takes up what the last process left open; returns how many calls that were."""
+    def recover(self, known: Callable[[], bool] = lambda: True) -> int:
+        """Takes up what the last process left open; returns how many calls that were. `known`: whether all
+        functions are; until then a call of one that isn't there waits in `await_functions`."""
         left = self._store.open_executions()
         for execution in left:
-            function = self._function(execution.function)
-            entry = _Open(self._loop, execution, function)
+            entry = _Open(self._loop, execution, self._function(execution.function))
             entry.durable.set()
             self._remember(entry)
+            self._waiting[execution.id] = entry
+        self._take_up(known())
+        return len(left)
+
+    def await_functions(self, known: Callable[[], bool]) -> None:
+        """Until each call that was found has been run or told its fate. A call that the function's removal
+        alone would end must not be ended by a front end that has not heard yet what is agreed on."""
+        while self._waiting:
+            self._loop.sleep(LOOK_AGAIN)
+            self._take_up(known())
+
+    def _take_up(self, known: bool) -> None:
+        for entry in list(self._waiting.values()):
+            execution = entry.execution
+            entry.function = self._function(execution.function)
             # An intent is written only where the call was not safe when it was sent, whatever its function's
             # class is now; so that one which may have run is not run again, its function is not asked.
             what = resume(execution, Effect.UNSAFE, self._loop.now())
-            if function is None and not isinstance(what, Failed):
+            if entry.function is None and not isinstance(what, Failed):
+                if not known:
+                    continue
                 what = Failed(Failure.RESTART, "the function is no longer configured")
+            del self._waiting[execution.id]
             if isinstance(what, Failed):
                 self._core.told(what, execution.name, execution.function, execution.tenant)
                 self._conclude(entry, what)
-            else:
-                try:
-                    self._run(entry, what, execution.name)
-                except LookupError as error:
-                    entry.failed = None
-                    self._conclude(entry, Failed(Failure.RESTART, str(error)))
-                if entry.failed is not None:  # refused while starting: it was accepted, so that is its fate
-                    self._conclude(entry, entry.failed)
-                    entry.failed = None
-        return len(left)
+                continue
+            try:
+                self._run(entry, what, execution.name)
+            except LookupError as error:
+                entry.failed = None
+                self._conclude(entry, Failed(Failure.RESTART, str(error)))
+            if entry.failed is not None:  # refused while starting: it was accepted, so that is its fate
+                self._conclude(entry, entry.failed)
+                entry.failed = None
 
     def purge(self) -> None:
         """Forgets old fates now and then; runs until cancelled."""
--- a/packages/daemon/src/walnutpost/daemon/front_end.py
+++ b/packages/daemon/src/walnutpost/daemon/front_end.py
@@ -150,7 +150,10 @@
         )
         self.deferred.also_at_end = firings.ended
         self.deferred.on_end = self.timers.ended
-        self.recovered = self.deferred.recover()
+        self.recovered = self.deferred.recover(self._functions_known)
+        self._tasks.append(
+            loop.spawn(self.deferred.await_functions, self._functions_known, name="await functions")
+        )
         invoke = InvokeFront(
             self.core,
             self.deferred,
@@ -172,6 +175,10 @@
     def address(self) -> tuple[str, int]:
         return self.server.address
 
+    def _functions_known(self) -> bool:
+        """Whether a function that isn't there is none: what is agreed on, where it is followed, was heard."""
+        return self.settings is None or self.settings.known
+
     def reload(self, config: Config) -> None:
         """Takes up the schedules of a changed configuration; what else has changed waits for a restart."""
         self.timers.replace(own_schedules(config))
--- a/packages/daemon/src/walnutpost/daemon/settings.py
+++ b/packages/daemon/src/walnutpost/daemon/settings.py
@@ -115,6 +115,11 @@
         """No leader has vouched for what it acts on within 9 s."""
         return self.follower.late(self._loop.now())
 
+    @property
+    def known(self) -> bool:
+        """Whether all that was agreed on has been heard by this process and looked at."""
+        return self.watcher.complete and self._judge is None
+
     # Start and end
 
     def catch_up(self) -> None:
@@ -126,7 +131,7 @@
                 self._judge.join()
         self._following = self._loop.spawn(self.watcher.run, name="settings")
         until = self._loop.now() + FIRST_ANSWER
-        while self._loop.now() < until and not (self.watcher.complete and self._judge is None):
+        while self._loop.now() < until and not self.known:
             self._loop.sleep(10_000)
 
     def stop(self) -> None:
--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -15,7 +15,7 @@
 
 from fleet_rig import INVOKE, SECOND, Fleet
 from relay_rig import Served
-from test_functions_gone import EVENT, fate, killed
+from test_functions_gone import ARN, EVENT, fate, killed
 from walnutpost.config.entries import FUNCTION, entries_of, value_of
 from walnutpost.config.model import FunctionLine
 from walnutpost.daemon.settings import DECODED_MOST, JUDGED_AT_ONCE, KEEP_EVERY, Functions, SettingsFollowing
@@ -83,6 +83,13 @@
         self.front_config = type(self.front_config).model_validate(told)
         self.front = self.start_front(listed)
 
+    def own_file_lacks(self, name: str) -> None:
+        """The front end's file is older than the function."""
+        site = self.front_config.site
+        own = {other: line for other, line in site.functions.items() if other != name}
+        site = site.model_copy(update={"functions": own})
+        self.front_config = self.front_config.model_copy(update={"site": site})
+
     @property
     def settings(self) -> SettingsFollowing:
         assert self.front.settings is not None
@@ -246,11 +253,7 @@
         assert f.relay.questions[-1].leaving
         f.relay.end()
         before = f.loop.now()
-        site = f.front_config.site
-        own = {name: line for name, line in site.functions.items() if name != "extra"}  # its file is older
-        f.front_config = f.front_config.model_copy(
-            update={"site": site.model_copy(update={"functions": own})}
-        )
+        f.own_file_lacks("extra")
         f.begin()
         assert f.loop.now() - before <= 2 * SECOND
         assert (
@@ -265,6 +268,43 @@
     f.play(script)
 
 
+@pytest.mark.parametrize("ends", ["agreed", "removed", "stopped", "late"])
+def test_a_deferred_call_of_an_agreed_function_waits_at_a_start_that_hears_of_none(
+    tmp_path: Path, ends: str
+) -> None:
+    """Neither relays nor a kept table: the function may stand in what is not heard of yet."""
+    f = Followed(tmp_path)
+
+    def script() -> None:
+        f.change(put("extra", 5))
+        own = base64.b64encode(b'{"custom": {"deadline-ms": 60000}}').decode()
+        told = f.invoke("extra", b"9", x_amz_invocation_type=EVENT, x_amz_client_context=own)
+        killed(f)
+        watch = f.relay.watch
+        answer = watch.answer
+        watch.answer = lambda *_: Response(503)  # type: ignore[method-assign]
+        (tmp_path / "calls.db.table").unlink()
+        f.own_file_lacks("extra")
+        f.begin()
+        assert f.invoke("extra").status == 404 and fate(f, told)["Status"] == "RUNNING"
+        f.loop.sleep(SECOND)
+        assert fate(f, told)["Status"] == "RUNNING"
+        if ends == "stopped":
+            arn = told.headers[ARN].replace(":", "%3A").replace("/", "%2F")
+            f.ask("POST", f"/2025-12-01/durable-executions/{arn}/stop")
+        elif ends == "late":
+            f.loop.sleep(120 * SECOND)
+        else:
+            if ends == "removed":
+                f.relay.change([gone("extra")])
+            watch.answer = answer  # type: ignore[method-assign]
+        wanted = {"agreed": "SUCCEEDED", "removed": "FAILED", "stopped": "STOPPED", "late": "TIMED_OUT"}[ends]
+        f.until(lambda: fate(f, told)["Status"] != "RUNNING")
+        assert fate(f, told)["Status"] == wanted, fate(f, told)
+
+    f.play(script)
+
+
 @pytest.mark.parametrize("harm", ["flipped", "short", "empty"])
 def test_a_kept_table_that_is_broken_is_said_and_not_used(tmp_path: Path, harm: str) -> None:
     f = Followed(tmp_path)
