Table: any order of events by hypothesis, 18 rules broken on purpose and found

Cause: what a follower holds has to be the keepers' table in any order of changes, losses, doubles, late and stray pages, moves, restarts, restores and flipped entries. Change: test_orders.py. Two keepers, two relays, two members; after each event each table is an agreed state, never an older one, in force as said; each assignment of entries that a reader could see is looked at; at the end all are equal by entries, digest and recount.

--- a/packages/table/src/walnutpost/table/follower.py
+++ b/packages/table/src/walnutpost/table/follower.py
@@ -63,9 +63,9 @@
         self.agreed[page.revision] = page.digest
 
     def lay(self, change: ChangeSet) -> None:
+        """In order and from `base` on at the latest: what a page has of later revisions is then laid over
+        again by the very change sets that it came from, up to `top`."""
         for op in change.ops:
-            if self.overtaken(self.entries.get(op.key), change.revision):
-                continue
             if op.value is None:
                 self.entries.pop(op.key, None)
             else:
@@ -74,11 +74,6 @@
         self.agreed[self.at] = change.digest
         self.changes.append(change)
 
-    @staticmethod
-    def overtaken(held: Entry | None, revision: int) -> bool:
-        """The page with this key came from a later state than this change set."""
-        return held is not None and held.revision >= revision
-
     @property
     def complete(self) -> bool:
         return self.replays and self.at >= self.top
@@ -320,7 +315,7 @@
             log, floor = [], load.at
         table = type(held).of(load.entries, load.at, log, floor, *self._limits)
         self._load = self._recount = None
-        if table.digest != load.agreed.get(load.at):
+        if not self._agreed(load, table):
             self._failed += 1
             what = "the whole state" if load.whole else f"{len(load.ranges)} ranges"
             if load.whole or self._failed >= REPAIRS_MOST:
@@ -341,6 +336,10 @@
         notes.append(f"repaired: {len(wrong)} keys in {len(load.ranges)} ranges at revision {table.revision}")
         return Taken(tuple(load.changes), repaired=tuple(sorted(wrong)), note="; ".join(notes))
 
+    @staticmethod
+    def _agreed(load: _Load, table: Table) -> bool:
+        return table.digest == load.agreed.get(table.revision)
+
     # Recounts
 
     @property
--- /dev/null
+++ b/packages/table/tests/test_orders.py
@@ -0,0 +1,617 @@
+"""The table in any order of events: keepers, relays and members on a network that loses, doubles and delays,
+while entries flip and all of them start anew; and that rules broken on purpose are found."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Any, ClassVar
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule, run_state_machine_as_test
+from immutables import Map
+from msgspec.structs import replace
+
+from walnutpost.table import (
+    ChangeSet,
+    Entry,
+    Follower,
+    Op,
+    Page,
+    Question,
+    Table,
+    Taken,
+    decode,
+    encode,
+    follower,
+    owed,
+)
+
+KEYS = [f"{kind}/{name}" for kind in ("class", "function") for name in "abcdef"]
+LIMITS = {"log_most": 5, "log_bytes": 100_000}
+FLIPPED = b"!flipped"
+Entries = dict[str, Entry]
+
+
+class Watched(Table):
+    """A table that shows to `look` each state that a reader could see, also in the middle of a change set."""
+
+    look: ClassVar[Callable[[Table, Map[str, Entry]], None]] = staticmethod(lambda table, entries: None)
+
+    @property
+    def entries(self) -> Map[str, Entry]:
+        return self._entries
+
+    @entries.setter
+    def entries(self, entries: Map[str, Entry]) -> None:
+        Watched.look(self, entries)
+        self._entries = entries
+
+
+@dataclass(eq=False)
+class Place:
+    """A process that follows: what it asks, and what is on its way to it."""
+
+    follower: Follower
+    asks: int = 0
+    wire: list[bytes] = field(default_factory=list)
+    seen: int = 0  # the last revision that was held
+    acted: int = 0
+    flips: set[str] = field(default_factory=set)
+    disk: bytes = b""
+
+
+class World:
+    """What was agreed on, and who holds what of it."""
+
+    keepers_of: type[Table] = Table
+    follower_of: type[Follower] = Follower
+    owed: Callable[..., Page | None] = staticmethod(owed)
+
+    def __init__(self) -> None:
+        self.now = 1_000_000
+        self.revision = 0
+        self.history: list[tuple[int, tuple[Op, ...]]] = []
+        self.states: dict[int, Entries] = {0: {}}
+        self.digests: dict[int, int] = {0: 0}
+        self.known: set[frozenset[Entry]] = {frozenset()}
+        self.keepers = [self.keepers_of(**LIMITS) for _ in range(2)]
+        self.copies: dict[int, bytes] = {}
+        self.snapshots: dict[int, bytes] = {}
+        self.flipped = False
+        self.starts = 0
+        Watched.look = staticmethod(lambda table, entries: None)
+        self.relays = [self.started("") for _ in range(2)]
+        self.members = [self.started(f"fe{n}") for n in range(2)]
+
+    def started(self, member: str, disk: bytes = b"") -> Place:
+        self.starts += 1
+        limits = {} if member else LIMITS
+        name = f"{member}.{self.starts}"
+        if disk:
+            follower = self.follower_of.restore(disk, member, name, self.now, **limits)
+            held = follower.table
+            follower.table = Watched.of(held.entries, held.revision, log_most=0)
+        else:
+            follower = self.follower_of(member, name, self.now, **limits)
+            follower.table = Watched(follower.table._log_most, follower.table._log_bytes)
+        return Place(follower, seen=follower.table.revision, disk=disk)
+
+    # The history
+
+    def agree(self, ops: tuple[Op, ...], skipped: int) -> None:
+        """`skipped`: entries of the history that are of something else."""
+        self.revision += 1 + skipped
+        self.history.append((self.revision, ops))
+        state = dict(self.states[max(self.states)])
+        for op in ops:
+            state.pop(op.key, None)
+            if op.value is not None:
+                state[op.key] = Entry(op.key, op.value, self.revision)
+        self.states[self.revision] = state
+        self.known.add(frozenset(state.values()))
+        self.digests[self.revision] = Table.of(state, self.revision).digest
+
+    def apply(self, keeper: int, number: int) -> None:
+        table = self.keepers[keeper]
+        for revision, ops in [h for h in self.history if h[0] > table.revision][:number]:
+            table.change(revision, ops)
+            assert dict(table.entries) == self.states[revision]
+            assert table.digest == self.digests[revision]
+            taken = self.snapshots.setdefault(revision, table.snapshot())
+            assert taken == table.snapshot(), "keepers differ"
+
+    # The network
+
+    def table_asked(self, place: Place) -> Table:
+        if place in self.relays:
+            return self.keepers[place.asks]
+        return self.relays[place.asks].follower.table
+
+    def ask(self, place: Place, most: int) -> None:
+        question = decode(encode(place.follower.question(0)), Question)
+        assert place.acted == question.in_force <= place.follower.table.revision
+        page = self.owed(self.table_asked(place), question, most)
+        place.wire.append(encode(page) if page is not None else b"")
+        del place.wire[:-6]
+
+    def deliver(self, place: Place, at: int, keep: bool) -> Taken:
+        data = place.wire[at]
+        if not keep:
+            del place.wire[at]
+        with self.looked_at(place):
+            taken = place.follower.answered(self.now, decode(data, Page) if data else None, 0)
+        self.heard(place, taken)
+        return taken
+
+    def heard(self, place: Place, taken: Taken) -> None:
+        assert self.flipped or not taken.note.startswith("diverged"), taken.note
+        if taken.elsewhere:
+            place.asks = 1 - place.asks
+            place.follower.moved()
+        for change in taken.changes:
+            assert (
+                change.revision <= place.follower.table.revision
+                and change.digest == self.digests[change.revision]
+            )
+
+    @contextmanager
+    def looked_at(self, place: Place) -> Any:
+        def look(table: Table, entries: Map[str, Entry]) -> None:
+            # Of the table in place: what a load has made is compared first, and seen by nobody until then.
+            if table is place.follower.table and frozenset(entries.values()) not in self.known:
+                assert any(self.same(place, entries, state) for state in self.states.values()), "half a state"
+
+        Watched.look = staticmethod(look)
+        yield
+        Watched.look = staticmethod(lambda table, entries: None)
+
+    @staticmethod
+    def same(place: Place, entries: Map[str, Entry], state: Entries) -> bool:
+        """Apart from what was flipped here and may not have been found yet."""
+        differ = {key for key in {*entries, *state} if entries.get(key) != state.get(key)}
+        return all(key in place.flips and entries[key].value == FLIPPED for key in differ & {*entries}) and (
+            differ <= {*entries}
+        )
+
+    def verify(self, place: Place) -> None:
+        self.heard(place, place.follower.verify(self.now, 5))
+
+    def flip(self, place: Place, key: str) -> None:
+        held = place.follower.table.entries.get(key)
+        if held is not None:
+            self.flipped = True
+            place.flips.add(key)
+            flipped = Entry(key, FLIPPED, held.revision)
+            place.follower.table.entries = place.follower.table.entries.set(key, flipped)
+
+    def act(self, place: Place, lower: int) -> None:
+        """The member says what it acts on, and now and then something that is no news, or can't be."""
+        held = place.follower.table.revision
+        said = max(0, held - lower)
+        place.follower.acting(said)
+        place.acted = max(place.acted, said)
+        with pytest.raises(ValueError, match="acts on revision"):
+            place.follower.acting(held + 1)
+
+    # What must hold
+
+    def check(self) -> None:
+        for place in (*self.relays, *self.members):
+            table = place.follower.table
+            assert table.revision >= place.seen, "an older revision after a newer one"
+            place.seen = table.revision
+            assert self.same(place, table.entries, self.states[table.revision]), "not the agreed state"
+            assert table.digest == self.digests[table.revision]
+            assert place.acted == place.follower.in_force <= table.revision
+
+    def settle(self) -> None:
+        """Whatever happened, once all is well every table is the keepers'."""
+        self.agree((Op(KEYS[0], b"last"),), 0)
+        for n in range(2):
+            self.apply(n, 10_000)
+        places = [*self.relays, *self.members]
+        for _ in range(40):
+            for place in places:
+                self.now += 6_000_000
+                for _ in range(300):
+                    place.wire.clear()
+                    self.ask(place, 200)
+                    if not place.wire[0]:
+                        break
+                    self.deliver(place, 0, False)
+                self.verify(place)
+                while place.follower.verifying:
+                    self.verify(place)
+                self.check()
+            if all(self.settled(place) for place in places):
+                return
+        raise AssertionError([(p.follower.question(0), p.follower.table.revision) for p in places])
+
+    def settled(self, place: Place) -> bool:
+        table, keeper = place.follower.table, self.keepers[0]
+        return (
+            not place.follower.loading
+            and (table.revision, table.digest, table.entries)
+            == (keeper.revision, keeper.digest, keeper.entries)
+            and table.recount() == table.bucket_digests() == keeper.bucket_digests()
+        )
+
+
+PLACES = st.integers(0, 3)  # the relays, then the members
+TWO = st.integers(0, 1)
+MOST = st.sampled_from([30, 100, 100_000])
+CHANGED = st.dictionaries(
+    st.sampled_from(KEYS), st.one_of(st.none(), st.sampled_from([b"", b"1", b"2"])), min_size=1, max_size=4
+)
+
+
+class Orders(RuleBasedStateMachine):
+    world_of: type[World] = World
+    flips = True
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = self.world_of()
+
+    def place(self, at: int) -> Place:
+        return [*self.world.relays, *self.world.members][at]
+
+    @initialize(changes=st.lists(CHANGED, min_size=1, max_size=9), held=st.booleans())
+    def begin(self, changes: list[dict[str, bytes | None]], held: bool) -> None:
+        for changed in changes:
+            self.change(changed, 0, (True, True))
+        for place in range(4 if held else 0):
+            self.carry(place, 100_000, 9)
+
+    @rule(changed=CHANGED, skipped=TWO, applied=st.tuples(st.booleans(), st.booleans()))
+    def change(self, changed: dict[str, bytes | None], skipped: int, applied: tuple[bool, bool]) -> None:
+        self.world.agree(tuple(Op(key, value) for key, value in changed.items()), skipped)
+        for keeper, now in enumerate(applied):
+            if now:
+                self.world.apply(keeper, 100)
+
+    @rule(changes=st.lists(CHANGED, min_size=2, max_size=7), keeper=TWO)
+    def burst(self, changes: list[dict[str, bytes | None]], keeper: int) -> None:
+        """As many as pass the floor, now and then."""
+        for changed in changes:
+            self.change(changed, 0, (keeper == 0, keeper == 1))
+
+    @rule(keeper=TWO, number=st.integers(1, 3))
+    def apply(self, keeper: int, number: int) -> None:
+        self.world.apply(keeper, number)
+
+    @rule(keeper=TWO, of=TWO, anew=st.booleans())
+    def snapshot(self, keeper: int, of: int, anew: bool) -> None:
+        """A keeper starts anew from its own snapshot, or another one's."""
+        if not anew:
+            self.world.copies[keeper] = self.world.keepers[keeper].snapshot()
+        elif of in self.world.copies:
+            self.world.keepers[keeper] = self.world.keepers_of.restore(self.world.copies[of], **LIMITS)
+
+    @rule(place=PLACES, most=MOST)
+    def ask(self, place: int, most: int) -> None:
+        self.world.ask(self.place(place), most)
+
+    @rule(place=PLACES, most=MOST, times=st.integers(1, 9), to=TWO)
+    def carry(self, place: int, most: int, times: int, to: int | None = None) -> None:
+        """Some questions and answers one after the other, of any server."""
+        if to is not None:
+            self.move(place, to)
+        for _ in range(times):
+            self.world.ask(self.place(place), most)
+            self.world.deliver(self.place(place), -1, False)
+
+    @rule(most=MOST, times=st.integers(1, 9))
+    def carry_all(self, most: int, times: int) -> None:
+        for place in range(4):
+            self.carry(place, most, times)
+
+    @rule(place=PLACES, at=st.integers(0, 2), keep=st.booleans())
+    def deliver(self, place: int, at: int, keep: bool) -> None:
+        if at < len(self.place(place).wire):
+            self.world.deliver(self.place(place), at, keep)
+
+    @rule(place=PLACES, most=MOST, back=st.integers(0, 4), after=st.sampled_from([None, *KEYS]))
+    def stray(self, place: int, most: int, back: int, after: str | None) -> None:
+        """The answer to a question of somebody who stands elsewhere."""
+        at = self.place(place)
+        table = self.world.table_asked(at)
+        agreed = [revision for revision in self.world.states if revision <= table.revision]
+        question = replace(at.follower.question(0), revision=agreed[-1 - back % len(agreed)], after=after)
+        page = owed(table, question, most)
+        if page is not None:
+            at.wire.append(encode(page))
+            self.world.deliver(at, -1, False)
+
+    @rule(place=PLACES, to=TWO)
+    def move(self, place: int, to: int) -> None:
+        self.place(place).asks = to
+        self.place(place).follower.moved()
+
+    @rule(place=PLACES, with_disk=st.booleans())
+    def start(self, place: int, with_disk: bool) -> None:
+        """What was on its way to the process before may still reach this one."""
+        before = self.place(place)
+        if place < 2:
+            anew = self.world.relays[place] = self.world.started("")
+        else:
+            disk = before.disk if with_disk else b""
+            anew = self.world.members[place - 2] = self.world.started(f"fe{place}", disk)
+        anew.wire, anew.asks = before.wire, before.asks
+
+    @rule(at=TWO, lower=st.integers(0, 2))
+    def act(self, at: int, lower: int) -> None:
+        member = self.world.members[at]
+        self.world.act(member, lower)
+        if not member.flips:
+            member.disk = member.follower.kept()
+
+    @rule(place=PLACES, later=st.integers(0, 6_000_000), times=st.integers(1, 4))
+    def verify(self, place: int, later: int, times: int) -> None:
+        self.world.now += later
+        for _ in range(times):
+            self.world.verify(self.place(place))
+
+    @rule(place=PLACES, key=st.sampled_from(KEYS), changed=CHANGED, found=st.booleans())
+    def flip(self, place: int, key: str, changed: dict[str, bytes | None], found: bool) -> None:
+        """`found`: with the next change, after which the follower counts again."""
+        if not self.flips:
+            return
+        self.world.flip(self.place(place), key)
+        if found:
+            self.change(changed, 0, (True, True))
+            self.carry_all(100_000, 1)
+            self.verify(place, 6_000_000, 4)
+            self.carry(place, 30, 2)
+
+    @invariant()
+    def check(self) -> None:
+        self.world.check()
+
+    def teardown(self) -> None:
+        self.world.settle()
+
+
+class SoundOrders(Orders):
+    """Nothing flips: then nothing is ever called diverged."""
+
+    flips = False
+
+
+def run(machine: type[Orders], examples: int, *phases: Phase) -> None:
+    run_state_machine_as_test(  # type: ignore[no-untyped-call]
+        machine,
+        settings=settings(
+            derandomize=True,
+            max_examples=examples,
+            stateful_step_count=60,
+            deadline=None,
+            database=None,
+            phases=phases or tuple(Phase),
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+@pytest.mark.parametrize("machine", [Orders, SoundOrders])
+def test_any_order_of_events_leaves_every_table_the_keepers(machine: type[Orders]) -> None:
+    """Looked at after each event, and at each state that a reader could see."""
+    run(machine, 150)
+
+
+# Wrong rules
+
+
+def halves(patch: pytest.MonkeyPatch) -> None:
+    """Entries are put in place one by one."""
+    apply = Table._apply
+
+    def one_by_one(self: Table, change: ChangeSet) -> None:
+        before = self.entries
+        for op in change.ops[:-1]:
+            held = self.entries
+            self.entries = (
+                held.set(op.key, Entry(op.key, op.value, change.revision))
+                if op.value is not None
+                else held.delete(op.key)
+                if op.key in held
+                else held
+            )
+        self._entries = before  # type: ignore[attr-defined]
+        apply(self, change)
+
+    patch.setattr(Watched, "_apply", one_by_one)
+
+
+def cut_in_two(patch: pytest.MonkeyPatch) -> None:
+    """A change set that does not fit is sent in two pages."""
+
+    def cut(table: Table, question: Question, most: int) -> Page | None:
+        page = owed(table, question, most)
+        if page is not None and len(page.changes) == 1 and len(page.changes[0].ops) > 1:
+            change = page.changes[0]
+            return replace(
+                page, changes=(replace(change, ops=change.ops[:1]), replace(change, ops=change.ops[1:]))
+            )
+        return page
+
+    patch.setattr(World, "owed", staticmethod(cut))
+
+
+def takes_older_change_sets(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Table, "take", Table._apply)
+
+
+def takes_change_sets_after_a_gap(patch: pytest.MonkeyPatch) -> None:
+    answered = Follower.answered
+
+    def any_since(self: Follower, now: int, page: Page | None, age: int | None) -> Taken:
+        return answered(self, now, replace(page, since=0) if page is not None else None, age)
+
+    patch.setattr(Follower, "answered", any_since)
+
+
+def takes_any_page_of_the_whole_state(patch: pytest.MonkeyPatch) -> None:
+    answered = Follower.answered
+
+    def any_after(self: Follower, now: int, page: Page | None, age: int | None) -> Taken:
+        if page is not None and page.whole and self._load is not None and self._load.after is not None:
+            page = replace(page, after=self._load.after)
+        return answered(self, now, page, age)
+
+    patch.setattr(Follower, "answered", any_after)
+
+
+def in_force_before_it_is_complete(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(follower._Load, "complete", property(lambda load: load.replays))
+
+
+def not_compared(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Follower, "_agreed", staticmethod(lambda load, table: True))
+
+
+def neither_complete_nor_compared(patch: pytest.MonkeyPatch) -> None:
+    in_force_before_it_is_complete(patch)
+    not_compared(patch)
+
+
+def change_sets_are_not_compared(patch: pytest.MonkeyPatch) -> None:
+    apply = Table._apply
+
+    def whatever(self: Table, change: ChangeSet) -> None:
+        apply(self, replace(change, digest=self._sums_with(change.revision, change.ops)[1]))
+
+    patch.setattr(Watched, "_apply", whatever)
+
+
+def lays_from_the_highest_page(patch: pytest.MonkeyPatch) -> None:
+    answered = Follower.answered
+
+    def highest(self: Follower, now: int, page: Page | None, age: int | None) -> Taken:
+        taken = answered(self, now, page, age)
+        load = self._load
+        if load is not None and page is not None and page.done and load.replays:
+            load.at = load.top
+        return taken
+
+    patch.setattr(Follower, "answered", highest)
+
+
+def begins_from_what_is_held(patch: pytest.MonkeyPatch) -> None:
+    """Then what was deleted meanwhile comes back."""
+    begin = Follower._begin
+
+    def from_held(self: Follower) -> follower._Load:
+        load = begin(self)
+        load.entries.update(self.table.entries)
+        return load
+
+    patch.setattr(Follower, "_begin", from_held)
+
+
+def an_older_relay_answers(patch: pytest.MonkeyPatch) -> None:
+    """As if a table that differs were always the newer one; and its answer is taken."""
+
+    def whole(table: Table, question: Question, most: int) -> Page | None:
+        if question.revision > table.revision > 0:
+            return owed(table, replace(question, revision=0, after=""), 100_000)
+        return owed(table, question, most)
+
+    answered = Follower.answered
+
+    def taken_over(self: Follower, now: int, page: Page | None, age: int | None) -> Taken:
+        if page is not None and page.whole and page.done and page.after == "":
+            self._load = None
+            entries = {entry.key: entry for entry in page.entries}
+            self.table = Watched.of(entries, page.revision, log_most=0)
+            return Taken(whole=True)
+        return answered(self, now, page, age)
+
+    patch.setattr(World, "owed", staticmethod(whole))
+    patch.setattr(Follower, "answered", taken_over)
+
+
+def in_force_goes_back(patch: pytest.MonkeyPatch) -> None:
+    def acting(self: Follower, revision: int) -> None:
+        if revision > self.table.revision:
+            raise ValueError(f"acts on revision {revision}")
+        self.in_force = revision
+
+    patch.setattr(Follower, "acting", acting)
+
+
+def in_force_is_what_is_held(patch: pytest.MonkeyPatch) -> None:
+    """Said before the member acts on it."""
+    question = Follower.question
+    patch.setattr(
+        Follower, "question", lambda self, hold: replace(question(self, hold), in_force=self.table.revision)
+    )
+
+
+def in_force_may_be_more_than_is_held(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Follower, "acting", lambda self, revision: setattr(self, "in_force", revision))
+
+
+def the_floor_is_each_keepers_own(patch: pytest.MonkeyPatch) -> None:
+    """It forgets the log when it starts anew."""
+    restore = Table.restore.__func__  # type: ignore[attr-defined]
+
+    def without_log(cls: type[Table], /, data: bytes, *limits: int, **more: int) -> Table:
+        table = restore(cls, data, *limits, **more)
+        return cls.of(table.entries, table.revision, (), None, *limits, **more)
+
+    patch.setattr(Table, "restore", classmethod(without_log))
+
+
+def nothing_is_counted_again(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Follower, "verify", lambda self, now, most: Taken())
+
+
+def a_range_is_added_to(patch: pytest.MonkeyPatch) -> None:
+    """What stands in it and should not, stays."""
+
+    def added(self: Follower, page: Page) -> Taken:
+        load = self._load
+        if load is None or not set(page.ranges) <= load.want:
+            return Taken()
+        load.entries |= {entry.key: entry for entry in page.entries if entry.key not in load.entries}
+        load.want -= set(page.ranges)
+        load.saw(page)
+        return self._completed(load)
+
+    patch.setattr(Follower, "_ranges", added)
+
+
+@pytest.mark.parametrize(
+    ("wrong", "machine"),
+    [
+        (halves, SoundOrders),
+        (cut_in_two, SoundOrders),
+        (takes_older_change_sets, SoundOrders),
+        (takes_change_sets_after_a_gap, SoundOrders),
+        (takes_any_page_of_the_whole_state, SoundOrders),
+        (in_force_before_it_is_complete, SoundOrders),
+        (not_compared, Orders),
+        (neither_complete_nor_compared, SoundOrders),
+        (change_sets_are_not_compared, Orders),
+        (lays_from_the_highest_page, SoundOrders),
+        (begins_from_what_is_held, SoundOrders),
+        (an_older_relay_answers, SoundOrders),
+        (in_force_goes_back, SoundOrders),
+        (in_force_is_what_is_held, SoundOrders),
+        (in_force_may_be_more_than_is_held, SoundOrders),
+        (the_floor_is_each_keepers_own, SoundOrders),
+        (nothing_is_counted_again, Orders),
+        (a_range_is_added_to, Orders),
+    ],
+)
+def test_a_rule_broken_on_purpose_is_found(
+    wrong: Callable[[pytest.MonkeyPatch], None], machine: type[Orders], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    wrong(monkeypatch)
+    with pytest.raises((AssertionError, pytest.fail.Exception)):
+        run(machine, 300, Phase.generate)  # the first one found is enough
