--- a/packages/config/src/walnutpost/config/settings.py
+++ b/packages/config/src/walnutpost/config/settings.py
@@ -4,13 +4,12 @@
 
 import json
 from collections.abc import Sequence
-from math import ceil
 
 from walnutpost import interface as api
 from walnutpost.config.base import address_of
 from walnutpost.config.model import Config, FunctionLine, Metering, Site, WorkerLine
 from walnutpost.gateway import Catalogue, Function, WorkerTold
-from walnutpost.metering import HOUR, Action, Budget, Policy, Size
+from walnutpost.metering import HOUR, Action, Budget, Policy
 from walnutpost.schedules import Missed, Overlap, Schedule, owner_of
 
 
@@ -149,11 +148,6 @@
     ]
 
 
-def sizes(site: Site) -> dict[str, Size]:
-    """Memory in whole MB, rounded up, as it is metered."""
-    return {name: Size(ceil(f.memory_mb), f.lanes, us(f.load_ms)) for name, f in site.functions.items()}
-
-
 def worker_lines(
     site: Site, lines: Sequence[WorkerLine]
 ) -> tuple[tuple[WorkerTold, ...], dict[str, tuple[str, int]], set[str]]:
--- a/packages/table/src/walnutpost/table/messages.py
+++ b/packages/table/src/walnutpost/table/messages.py
@@ -187,7 +187,7 @@
     """Raises BadMessage."""
     try:
         value = msgspec.msgpack.decode(data, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise BadMessage(f"{kind.__name__}: {error}") from error
     form = getattr(value, "format", FORMAT)
     if form != FORMAT:
--- a/packages/watch/src/walnutpost/watch/client.py
+++ b/packages/watch/src/walnutpost/watch/client.py
@@ -239,10 +239,7 @@
         self._debt.received(self._loop.now(), max(0, COST_LEAST - len(response.body)))
         if response.status not in (200, 204):
             raise NotServed(f"{response.status} {response.body[:200]!r}")
-        try:
-            page = decode(_plain(response), Page) if response.status == 200 else None
-        except (UnicodeDecodeError, RecursionError) as error:
-            raise BadMessage(f"Page: {error}") from error
+        page = decode(_plain(response), Page) if response.status == 200 else None
         # Counted from the asking: an answer that lay somewhere on its way, or here while this process
         # stood still, is as old as it may be.
         held, age = _number(response, HELD_HEADER), _number(response, AGE_HEADER)
--- a/packages/watch/src/walnutpost/watch/serving.py
+++ b/packages/watch/src/walnutpost/watch/serving.py
@@ -110,7 +110,7 @@
         try:
             question = decode(body, Question)
             _check(question)
-        except (BadMessage, UnicodeDecodeError, RecursionError) as error:
+        except BadMessage as error:
             self.counts.refused += 1
             return Response(400, body=str(error).encode())
         if question.member:
