--- a/packages/table/tests/test_messages.py
+++ b/packages/table/tests/test_messages.py
@@ -19,6 +19,7 @@
         b"\xdc\x00\x20\xa1a\xa1b\x01\x01\x01\x01\x01\xa0\xc0\x01\xc2\x90\xc2\x01"
         + b"\x91" * NESTED,  # nested deeply in a field that nobody reads
     ],
+    ids=["nothing", "no type", "cut", "no text", "nested"],
 )
 def test_what_is_no_message_is_said_to_be_none(body: bytes) -> None:
     with pytest.raises(BadMessage, match="Question"):
