Table: tests for six guards whose removal no unit test had noticed

Cause: 17 guards of table, watch and follower were put out one at a time on a scratch copy; 11 were found by the unit tests, 6 were not (late ranges and digests, ranges not asked for, a gap or a double while change sets are laid over pages, a key held twice). Change: four tests more.

--- a/packages/table/tests/test_follower.py
+++ b/packages/table/tests/test_follower.py
@@ -499,6 +499,64 @@
     assert taken.repaired == (wrong,) and same(follower, ahead)
 
 
+def unmoved(follower: Follower, page: Page | None) -> bool:
+    """A page that is not the awaited one."""
+    asked, held = follower.question(0), follower.table
+    assert page is not None
+    return (
+        follower.answered(0, page, 0) == Taken() and follower.question(0) == asked and follower.table is held
+    )
+
+
+def test_ranges_that_are_older_or_not_asked_for_are_not_taken() -> None:
+    table, old, follower = filled(1000), filled(1000), Follower("fe1", "fe1.1")
+    table.change(9000, ops("f00051"))
+    follow(follower, table)
+    flip(follower.table, "function/f00050")
+    follower.verify(0, 10**6)
+    asked = follower.question(0)
+    bucket = bucket_of("function/f00050")
+    assert asked.want == (bucket,)
+    assert unmoved(follower, owed(old, replace(asked, revision=2000)))
+    assert unmoved(follower, owed(table, replace(asked, want=((bucket + 1) % BUCKETS,))))
+    assert unmoved(follower, owed(table, replace(asked, want=(bucket, (bucket + 1) % BUCKETS))))
+    assert one(follow(follower, table)).repaired == ("function/f00050",) and same(follower, table)
+
+
+def test_digests_that_are_older_are_not_compared() -> None:
+    table, old, follower = filled(100), filled(90), Follower("fe1", "fe1.1")
+    follow(follower, table)
+    change = table.change(9000, ops("f00051"))
+    wrong = Page(9000, 1, 0, (replace(change, digest=1),), since=200)
+    assert "asking for the digests by range" in follower.answered(0, wrong, 0).note
+    assert unmoved(follower, owed(old, replace(follower.question(0), revision=0)))
+    follow(follower, table)
+    assert same(follower, table)
+
+
+def test_change_sets_that_are_late_or_leave_a_gap_are_not_laid_over_pages() -> None:
+    table, follower = filled(100, log_most=40), Follower("fe1", "fe1.1")
+    page = owed(table, follower.question(0), 500)
+    assert page is not None
+    follower.answered(0, page, 0)
+    for n in range(4):
+        table.change(9000 + n, ops(f"f0000{n}", value=b"%d" % n))
+    while follower.question(0).after is not None:
+        page = owed(table, follower.question(0))
+        assert page is not None
+        follower.answered(0, page, 0)
+    asked = follower.question(0)
+    first = owed(table, asked, 1)
+    assert asked.base == asked.revision == 200 and first is not None
+    assert unmoved(follower, owed(table, replace(asked, revision=9001)))
+    follower.answered(0, first, 0)
+    follower.answered(0, owed(table, follower.question(0), 1), 0)
+    assert follower.question(0).revision == 9001
+    assert unmoved(follower, first)
+    follow(follower, table)
+    assert same(follower, table)
+
+
 # Disk
 
 
--- a/packages/table/tests/test_table.py
+++ b/packages/table/tests/test_table.py
@@ -147,6 +147,15 @@
         other.take(table.change(1000, ops("f00007")))
 
 
+def test_a_key_that_is_changed_again_and_again_is_held_once() -> None:
+    """A map keeps the key that it was first given; an entry with another copy of it would cost it twice."""
+    table = filled(10)
+    key = "/".join(("function", "f00003"))
+    (held,) = (k for k in table.entries if k == key)
+    table.change(100, (Op(key, b"new"),))
+    assert held is not key and table.entries[key].key is held and table.entries[key].value == b"new"
+
+
 # Digests
 
 
