Trials: one wait on conditions for both stages, one place for a process's ways to relays

Left alone: the test rigs' few like lines (import blocks, a refusal of one line), each in its own member's tests.

--- a/packages/trials/src/walnutpost/trials/fleet_stage.py
+++ b/packages/trials/src/walnutpost/trials/fleet_stage.py
@@ -35,6 +35,17 @@
     """A process did not start."""
 
 
+def wait_until(
+    loop: Loop, condition: Callable[[], object], what: str, folder: Path, patience: int = START_PATIENCE
+) -> None:
+    """Raises StageError, which names the folder with the logs, after `patience` microseconds."""
+    end = loop.now() + patience
+    while not condition():
+        if loop.now() > end:
+            raise StageError(f"waited in vain for {what}; see {folder}")
+        loop.sleep(LOOK_EVERY)
+
+
 @dataclass(slots=True)
 class Gone:
     """A time in which a member was seen down: at `first` and at `last`, microseconds. `hit`: the script had
@@ -214,11 +225,7 @@
         return done.stdout
 
     def until(self, condition: Callable[[], object], what: str, patience: int = START_PATIENCE) -> None:
-        end = self.loop.now() + patience
-        while not condition():
-            if self.loop.now() > end:
-                raise StageError(f"waited in vain for {what}; see {self.folder}")
-            self.loop.sleep(LOOK_EVERY)
+        wait_until(self.loop, condition, what, self.folder, patience)
 
     # The observer
 
--- a/packages/trials/src/walnutpost/trials/table_stage.py
+++ b/packages/trials/src/walnutpost/trials/table_stage.py
@@ -24,7 +24,7 @@
 from walnutpost.standins.fleet import local_store, start_worker
 from walnutpost.table import BadTable, Follower, Op, Status, Table, Taken
 from walnutpost.table.choice import Choice
-from walnutpost.trials.fleet_stage import ADDRESS, START_PATIENCE, Address, StageError
+from walnutpost.trials.fleet_stage import ADDRESS, START_PATIENCE, Address, StageError, wait_until
 from walnutpost.trials.hollow import TWINS, NoLog
 from walnutpost.trials.mesh import Mesh
 from walnutpost.watch import Watcher
@@ -112,9 +112,10 @@
         checked = self._config("f1")
         ops = [Op(key, value) for key, value in entries_of(checked.site).items()]
         first = [op for op in ops if not op.key.startswith("function/padding")]
-        rest = ops[len(first) :] if first == ops[: len(first)] else [op for op in ops if op not in first]
-        for at in range(0, len(rest) or 1, 400):
-            self.change(tuple([*(first if not at else ()), *rest[at : at + 400]]))
+        self.change(tuple(first))
+        rest = [op for op in ops if op.key.startswith("function/padding")]
+        for at in range(0, len(rest), 400):
+            self.change(tuple(rest[at : at + 400]))
 
     def _workers(self) -> None:
         config = self._config("f1")
@@ -131,13 +132,16 @@
         return parse(json.dumps(self._front(name)), name, Config)
 
     def _front(self, name: str) -> dict[str, Any]:
-        relays = {r: "{}:{}".format(*self.mesh.address(name, r)) for r in RELAYS}
         front = {"listen": "127.0.0.1:0", "index": FRONTS.index(name), "front_ends": len(FRONTS)}
         front |= {"store": f"{name}.db", "workers_file": "workers.json"}
         work = {function: {"work_ms": 2, "load_ms": 20} for function in FUNCTIONS}
         workers = [{"name": f"w{n}", "cores": 8, "memory_mb": 4096} for n in range(2)]
         told = {"site": site(self.padding), "front": front, "fleet": {"work": work, "workers": workers}}
-        return told | {"agreement": {"member": name, "relays": relays}}
+        return told | {"agreement": {"member": name, "relays": self._relays(name)}}
+
+    def _relays(self, name: str) -> dict[str, str]:
+        """Where this process reaches each relay: at the way that leads there."""
+        return {r: "{}:{}".format(*self.mesh.address(name, r)) for r in RELAYS}
 
     def _keepers_file(self, name: str) -> dict[str, Any]:
         def at(other: str) -> str:
@@ -165,8 +169,7 @@
             command = [*cli, "serve", str(path)]
         else:
             members = [f"{name}-{n}" for n in range(self.hollow // len(HOLLOW))]
-            relays = self._front(FRONTS[0])["agreement"]["relays"]
-            relays = {r: "{}:{}".format(*self.mesh.address(name, r)) for r in relays}
+            relays = self._relays(name)
             path.write_text(json.dumps({"members": members, "relays": relays, "faults": self.faults}))
             command = ["walnutpost.trials.hollow", str(path)]
         with self._log(name).open("wb") as out:
@@ -197,11 +200,7 @@
         return False
 
     def until(self, condition: Callable[[], object], what: str, patience: int = START_PATIENCE) -> None:
-        end = self.loop.now() + patience
-        while not condition():
-            if self.loop.now() > end:
-                raise StageError(f"waited in vain for {what}; see {self.folder}")
-            self.loop.sleep(LOOK_EVERY)
+        wait_until(self.loop, condition, what, self.folder, patience)
 
     # Asking, beside the ways that fail
 
