Events say how long a request waited to be read and how many copies an order wanted

RequestArrived and CallArrived carry `waited`, HoldEnded and HoldDone carry `wanted`, the settings say whether the transport delivers orders as they are given, which the simulator's does. Nothing reads them yet: no decision changes.

--- a/packages/adapter/src/walnutpost/adapter/host.py
+++ b/packages/adapter/src/walnutpost/adapter/host.py
@@ -4,6 +4,7 @@
 
 import sys
 import traceback
+from dataclasses import replace
 from typing import BinaryIO
 
 from walnutpost.adapter import codec, settings
@@ -36,7 +37,8 @@
         try:
             match event:
                 case codec.Started(seed, text):
-                    self._routers[instance] = Router(settings.parse_settings(text), seed)
+                    told = replace(settings.parse_settings(text), orders_arrive_at_once=True)
+                    self._routers[instance] = Router(told, seed)
                 case codec.Stopped():
                     del self._routers[instance]
                 case _:
--- a/packages/core/src/walnutpost/core/__init__.py
+++ b/packages/core/src/walnutpost/core/__init__.py
@@ -192,7 +192,7 @@
                 if self.watch is None or self.watch.lets_order(self._loop.now(), effect):
                     self._links.order(effect, self.feed)
                 else:  # answered as by a worker that takes no more
-                    full = HoldDone(effect.worker, effect.function, Outcome.FULL, 0, 0)
+                    full = HoldDone(effect.worker, effect.function, Outcome.FULL, 0, 0, effect.copies)
                     self._loop.call_later(0, lambda: self.feed(full))
             case Discard():
                 self._links.discard(effect)
--- a/packages/gateway/src/walnutpost/gateway/core.py
+++ b/packages/gateway/src/walnutpost/gateway/core.py
@@ -104,9 +104,9 @@
                 self._caller_left(ticket)
             case CallStopped(ticket) if ticket in self._tickets:
                 self._stop(self._tickets[ticket])
-            case HoldDone(worker, function, outcome, latency, copies):
+            case HoldDone(worker, function, outcome, latency, copies, wanted):
                 wid, key = self._workers.number(worker), self._functions.number(function)
-                self._route(api.HoldEnded(wid, key, outcome, latency, copies))
+                self._route(api.HoldEnded(wid, key, outcome, latency, copies, wanted))
             case PingDone(worker, outcome, latency, report):
                 self._route(api.ProbeEnded(self._workers.number(worker), outcome, latency, report))
             case WorkersTold(kind, version, workers):
@@ -176,6 +176,7 @@
                 function.lanes,
                 function.load_time,
                 e.repeat,
+                e.waited,
             )
         )
 
--- a/packages/gateway/src/walnutpost/gateway/messages.py
+++ b/packages/gateway/src/walnutpost/gateway/messages.py
@@ -55,7 +55,8 @@
     """A caller asks. `ticket` is the embedding program's own number for this asking, not used before;
     exactly one Answered comes for it, unless CallerLeft does. Where `repeat_key` isn't empty, another
     asking with the same key, tenant, function and payload is the same call. `of` tells the function's
-    figures where each call brings its own; else the catalogue knows them."""
+    figures where each call brings its own; else the catalogue knows them. `waited` is the longest time for
+    which the request may have been there before it was read; `time_left` counts from now."""
 
     ticket: int
     function: str
@@ -68,6 +69,7 @@
     stays: bool = False  # goes on without a caller: deferred calls
     barred: Refused | None = None  # the answer, unless the call is in already under its repeat key
     of: Function | None = None
+    waited: int = 0
 
 
 class CallerLeft(Message, frozen=True):
@@ -96,13 +98,14 @@
 
 
 class HoldDone(Message, frozen=True):
-    """The answer to one Order."""
+    """How one Order ended; `wanted` repeats its copies (outcomes as in `interface.HoldEnded`)."""
 
     worker: str
     function: str
     outcome: Outcome
     latency: int
     copies: int
+    wanted: int = 0
 
 
 class PingDone(Message, frozen=True):
--- a/packages/interface/src/walnutpost/interface/__init__.py
+++ b/packages/interface/src/walnutpost/interface/__init__.py
@@ -119,6 +119,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
+    """`orders_arrive_at_once`: a hold order reaches its worker as it is given, as in the simulator; on a
+    network it may arrive much later."""
+
     classes: tuple[RequestClass, ...]
     tenants: tuple[Tenant, ...]
     limits: Limits
@@ -140,6 +143,7 @@
     over_share_worth: float
     report_fields: tuple[str, ...]
     memory_by_kind: tuple[float, ...]
+    orders_arrive_at_once: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,6 +166,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
+    """`waited` is the longest time for which the request may have been there before it was read; `time_left`
+    counts from now."""
+
     request: int
     class_index: int
     tenant: int
@@ -172,6 +179,7 @@
     lanes: float
     load_time: int
     repeat: bool
+    waited: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,11 +210,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldEnded:
+    """How a hold order ended. MOOT and CONNECT_FAILED: it never reached the worker whole. RESET: it may have,
+    but will not any more. TIMEOUT: it may have, or may still. Any other outcome: the worker has answered it.
+    `wanted` repeats the order's copies, and is 0 where it only asked or where the transport does not tell."""
+
     worker: int
     function: int
     outcome: Outcome
     latency: int
     copies: int
+    wanted: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/links/src/walnutpost/links/links.py
+++ b/packages/links/src/walnutpost/links/links.py
@@ -205,7 +205,8 @@
         copies = 0
         if response is not None:
             outcome, copies = codec.read_load(response)
-        done(HoldDone(effect.worker, effect.function, outcome, self._loop.now() - began, copies))
+        took = self._loop.now() - began
+        done(HoldDone(effect.worker, effect.function, outcome, took, copies, effect.copies))
 
     def discard(self, effect: Discard) -> None:
         self._loop.spawn(
--- a/packages/node/src/walnutpost/node/pool.py
+++ b/packages/node/src/walnutpost/node/pool.py
@@ -126,7 +126,7 @@
         def end(sent: Exchange, outcome: Outcome, answer: resp.Answer | None) -> None:
             copies = answer.copies or 0 if answer is not None else 0
             took = self.loop.now() - sent.began_us
-            done(HoldDone(effect.worker, effect.function, outcome, took, copies))
+            done(HoldDone(effect.worker, effect.function, outcome, took, copies, effect.copies))
 
         tag = self._tag()
         now = self.loop.now()
