Worker connections: an order's end tells what it proves; deadlines by the first byte

Change: exchanges know whether they wait, left in part or were sent whole. MOOT and CONNECT_FAILED prove that no whole order ever leaves; what was given up in part leaves no further byte; a connection with something given up on it takes nothing new and ends by reset. Calls are encoded as their first byte leaves, from their absolute deadline. Modules import each other one way now: limits, exchange, outbox, connection, selection, pool.

Ruled out as proof: a reset of our own. Linux hands a stopped receiver what its kernel holds also after it, so RESET and TIMEOUT both mean that the order may still arrive.

--- a/packages/node/src/walnutpost/node/exchange.py
+++ b/packages/node/src/walnutpost/node/exchange.py
@@ -1,74 +1,124 @@
-"""What is out at a worker and owed an end."""
+"""A command to a worker that is owed exactly one outcome: a call's attempt, an order, a question or a probe.
+
+Knows neither connections nor their pool: whoever carries an exchange registers as its `carrier`.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from enum import Enum
+from typing import Protocol
 
 from walnutpost.interface import Outcome
 from walnutpost.loop.timers import Timer
 from walnutpost.node import resp
 
-if TYPE_CHECKING:
-    from walnutpost.node.connection import WorkerConnection
+
+class Kind(Enum):
+    """What a command is for."""
+
+    CALL = "call"
+    ORDER = "order"  # to load copies
+    QUESTION = "question"  # an order for no copies: asks how many stand
+    PROBE = "probe"
+
+
+IDEMPOTENT = frozenset((Kind.QUESTION, Kind.PROBE))
+
+
+class Progress(Enum):
+    """How much of a command the kernel has been given on its present connection. One that is not SENT when
+    that connection is aborted never reaches the worker whole."""
+
+    WAITING = "waiting"
+    PARTIAL = "partial"
+    SENT = "sent"
+
+
+class Carrier(Protocol):
+    """The connection that an exchange is on."""
+
+    def give_up(self, exchange: Exchange) -> None:
+        """Owes the exchange nothing any more, and hands the kernel no further byte of it."""
 
 
 class Exchange:
-    """Something that is owed an end: an attempt, an order or a probe. It gets one, whatever happens after.
+    """One command and its one outcome, whatever happens after that.
 
     A command is decided on when it is given to a connection, and may leave much later: once the connection
-    has come up, or the send buffer has room. `may_begin` is asked where its first byte would leave.
+    has come up, or the send buffer has room. `may_begin` is asked where its first byte would leave, and
+    `encode` then makes the command, so that it tells the time that is left.
     """
 
     __slots__ = (
         "_end",
         "_wanted",
+        "abandoned",
         "began_us",
-        "command",
-        "connection",
+        "carrier",
+        "deadline_us",
+        "encode",
         "ended",
-        "harmless",
         "id",
-        "key",
-        "latest_us",
+        "kind",
         "moves",
+        "progress",
+        "queued_us",
+        "send_by_us",
+        "sent_us",
         "timer",
-        "written",
     )
 
     def __init__(
         self,
+        kind: Kind,
         id: bytes,
-        command: bytes,
+        encode: Callable[[int], bytes],
         began_us: int,
+        timeout_us: int,
         end: Callable[[Exchange, Outcome, resp.Answer | None], None],
-        latest_us: int | None = None,
+        send_within_us: int = 0,
         wanted: Callable[[], bool] | None = None,
     ):
-        """`latest_us`: the time until which its first byte may leave, as its decision stated; `wanted` says
-        whether anybody still waits for its end. None for both: always."""
+        """`encode` makes the command out of the time at which it begins to leave; `timeout_us` and
+        `send_within_us` (0: no such limit) count from `began_us`, the decision; `wanted` says whether anybody
+        still waits for the outcome (None: always)."""
+        self.kind = kind
         self.id = id
-        self.command = command
+        self.encode = encode
         self.began_us = began_us
+        self.deadline_us = began_us + timeout_us
+        self.send_by_us = began_us + send_within_us if send_within_us else self.deadline_us
         self._end = end
-        self.latest_us = latest_us
         self._wanted = wanted
         self.ended = False
-        self.key: tuple[int, int] | None = None  # call and attempt
-        self.connection: WorkerConnection | None = None
+        self.abandoned = False  # given up; its end is about to be reported
+        self.carrier: Carrier | None = None
         self.timer: Timer | None = None
-        self.written = False  # whether the worker may have got any of it
-        self.moves = 0
-        self.harmless = False  # asks only, so that twice is as good as once
+        self.progress = Progress.WAITING
+        self.queued_us = began_us  # since when it has been with its present connection
+        self.sent_us = 0  # when the kernel got its last byte
+        self.moves = 0  # to other connections
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may go out on another connection once its present one is aborted: it can't have
+        arrived whole, or only asks."""
+        return self.progress is not Progress.SENT or self.kind in IDEMPOTENT
+
+    @property
+    def over(self) -> bool:
+        """Whether it has ended, or was given up: no byte of it may leave any more."""
+        return self.ended or self.abandoned
 
     def may_begin(self, now_us: int) -> bool:
         """Guards against what has changed between decision and first byte: the client has left, the answer
         is out, the time of the decision is over. What may not begin any more never ran."""
-        return (self.latest_us is None or now_us <= self.latest_us) and (
-            self._wanted is None or self._wanted()
-        )
+        in_time = now_us <= self.send_by_us and now_us < self.deadline_us
+        return in_time and not self.over and (self._wanted is None or self._wanted())
 
     def finish(self, outcome: Outcome, answer: resp.Answer | None = None) -> None:
+        """Reports the outcome, unless one was reported before."""
         if not self.ended:
             self.ended = True
             if self.timer is not None:
--- a/packages/node/src/walnutpost/node/pool.py
+++ b/packages/node/src/walnutpost/node/pool.py
@@ -4,15 +4,18 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from functools import partial
 
 from walnutpost.gateway import AttemptDone, Discard, HoldDone, Order, Ping, PingDone, Start
 from walnutpost.interface import Outcome
 from walnutpost.loop import Loop
-from walnutpost.node import resp
+from walnutpost.node import resp, selection
 from walnutpost.node.connection import WorkerConnection
 from walnutpost.node.directory import Address
-from walnutpost.node.exchange import Exchange
+from walnutpost.node.exchange import Exchange, Kind, Progress
+from walnutpost.node.limits import WorkerLimits
+
+__all__ = ["Identity", "WorkerLimits", "WorkerPool"]
 
 Identity = tuple[bytes, str, str]
 SWEEP_US = 1_000_000
@@ -21,19 +24,6 @@
 IDLE_SHARE = 0.7  # of the time after which the worker closes an idle connection: never to write into that
 
 
-@dataclass(frozen=True, slots=True)
-class WorkerLimits:
-    """Times in microseconds; `connections` in all, `streams` at once on one of them."""
-
-    dial_timeout_us: int
-    idle_time_us: int
-    order_timeout_us: int
-    streams: int
-    connections: int
-    report_fields: tuple[str, ...]
-    cancel: bool  # whether a worker may be told that a call is given up
-
-
 class WorkerPool:
     """`identity` gives a ticket's id, class and repeat key as its client told them, and None once nobody
     waits for its answer any more."""
@@ -51,7 +41,7 @@
         self._connections: dict[str, list[WorkerConnection]] = {}
         self._count = 0
         self._tags = 0
-        self._attempts: dict[tuple[int, int], Exchange] = {}
+        self._attempts: dict[tuple[int, int], Exchange] = {}  # by call and attempt
         self.dialled = self.spoilt_answers = self.ordered = self.asked = 0
         self.ends: Counter[tuple[str, Outcome]] = Counter()  # how attempts ended, since it was last looked at
         sweep = max(1, min(SWEEP_US, int(limits.idle_time_us * SWEEP_SHARE)))
@@ -78,133 +68,163 @@
         before: Callable[[], None] | None = None,
         execution: str = "",
     ) -> None:
-        call, attempt = key = (effect.call, effect.attempt)
-        ticket, now = effect.ticket, self.loop.now()
-
-        def end(sent: Exchange, outcome: Outcome, answer: resp.Answer | None) -> None:
-            self._attempts.pop(key, None)
-            took = self.loop.now() - sent.began_us
-            self.ends[effect.worker, outcome] += 1
-            if answer is None:
-                done(AttemptDone(call, attempt, outcome, took))
-            else:
-                done(
-                    AttemptDone(
-                        call,
-                        attempt,
-                        outcome,
-                        took,
-                        answer.body if outcome is Outcome.OK else b"",
-                        False,
-                        answer.warmth,
-                        answer.crowd,
-                        answer.report,
-                    )
-                )
-
+        """Sends an attempt of a call; its time runs from now."""
+        now, ticket = self.loop.now(), effect.ticket
         known = self._identity(ticket)
         id, cls, repeat_key = known or (b"", "", "")
-        command = resp.call(id, cls, effect.function, effect.timeout, effect.payload, repeat_key)
-        wanted = lambda: self._identity(ticket) is not None  # noqa: E731
-        sent = Exchange(id, command, now, end, now + effect.latest, wanted)
-        sent.key = key
-        self._attempts[key] = sent
+        deadline = now + effect.timeout
+
+        def encode(at: int) -> bytes:
+            return resp.call(id, cls, effect.function, deadline - at, effect.payload, repeat_key)
+
+        exchange = Exchange(
+            Kind.CALL,
+            id,
+            encode,
+            now,
+            effect.timeout,
+            partial(self._attempt_ended, effect, done),
+            effect.latest,
+            lambda: self._identity(ticket) is not None,
+        )
+        self._attempts[effect.call, effect.attempt] = exchange
         if known is None:  # the client left while this was decided
-            self.loop.call_soon(lambda: sent.finish(Outcome.MOOT))
+            self.loop.call_soon(lambda: exchange.finish(Outcome.MOOT))
+            return
+        self._begin(effect.worker, exchange)
+
+    def _attempt_ended(
+        self,
+        effect: Start,
+        done: Callable[[AttemptDone], None],
+        exchange: Exchange,
+        outcome: Outcome,
+        answer: resp.Answer | None,
+    ) -> None:
+        self._attempts.pop((effect.call, effect.attempt), None)
+        self.ends[effect.worker, outcome] += 1
+        took = self.loop.now() - exchange.began_us
+        if answer is None:
+            done(AttemptDone(effect.call, effect.attempt, outcome, took))
             return
-        self._within(sent, effect.timeout)
-        self.place(effect.worker, sent, effect.attempt > 0)
+        body = answer.body if outcome is Outcome.OK else b""
+        done(
+            AttemptDone(
+                effect.call,
+                effect.attempt,
+                outcome,
+                took,
+                body,
+                False,
+                answer.warmth,
+                answer.crowd,
+                answer.report,
+            )
+        )
 
     def abandon(self, call: int, attempt: int) -> None:
-        sent = self._attempts.get((call, attempt))
-        if sent is None:
+        """Gives the attempt up, also where it has left."""
+        exchange = self._attempts.get((call, attempt))
+        if exchange is None:
             return
-        self._give_up(sent)
-        self.loop.call_soon(lambda: sent.finish(Outcome.CANCELLED))
+        exchange.abandoned = True
+        if exchange.carrier is not None:
+            exchange.carrier.give_up(exchange)
+        self.loop.call_soon(lambda: exchange.finish(Outcome.CANCELLED))
 
     def order(self, effect: Order, done: Callable[[HoldDone], None]) -> None:
-        def end(sent: Exchange, outcome: Outcome, answer: resp.Answer | None) -> None:
+        """Sends an order to load, or a question; its outcome is as `interface.HoldEnded` says."""
+
+        def end(exchange: Exchange, outcome: Outcome, answer: resp.Answer | None) -> None:
+            if answer is None and outcome is Outcome.ERROR and effect.copies:
+                outcome = Outcome.RESET  # malformed bytes came, and they answer nothing
             copies = answer.copies or 0 if answer is not None else 0
-            took = self.loop.now() - sent.began_us
+            took = self.loop.now() - exchange.began_us
             done(HoldDone(effect.worker, effect.function, outcome, took, copies, effect.copies))
 
-        tag = self._tag()
-        now = self.loop.now()
-        latest = now + effect.latest if effect.latest else None
-        sent = Exchange(tag, resp.spawn(tag, effect.function, effect.copies), now, end, latest)
-        sent.harmless = not effect.copies
         self.ordered += effect.copies > 0
         self.asked += not effect.copies
-        self._within(sent, self.limits.order_timeout_us)
-        self.place(effect.worker, sent)
+        tag = self._tag()
+        command = resp.spawn(tag, effect.function, effect.copies)
+        exchange = Exchange(
+            Kind.ORDER if effect.copies else Kind.QUESTION,
+            tag,
+            lambda at: command,
+            self.loop.now(),
+            self.limits.order_timeout_us,
+            end,
+            effect.latest,
+        )
+        self._begin(effect.worker, exchange)
 
     def ping(self, effect: Ping, done: Callable[[PingDone], None]) -> None:
-        def end(sent: Exchange, outcome: Outcome, answer: resp.Answer | None) -> None:
+        """Sends a probe."""
+
+        def end(exchange: Exchange, outcome: Outcome, answer: resp.Answer | None) -> None:
             report = answer.report if answer is not None else ()
-            done(PingDone(effect.worker, outcome, self.loop.now() - sent.began_us, report))
+            done(PingDone(effect.worker, outcome, self.loop.now() - exchange.began_us, report))
 
         tag = self._tag()
-        sent = Exchange(tag, resp.probe(tag), self.loop.now(), end)
-        sent.harmless = True
-        self._within(sent, PROBE_TIMEOUT_US)
-        self.place(effect.worker, sent)
+        command = resp.probe(tag)
+        now = self.loop.now()
+        self._begin(effect.worker, Exchange(Kind.PROBE, tag, lambda at: command, now, PROBE_TIMEOUT_US, end))
 
     def discard(self, effect: Discard) -> None:
-        connection = self._pick(effect.worker)
+        """Tells the worker to unload idle copies; nothing comes back."""
+        connection = self._pick(effect.worker, self._tag())
         if connection is not None:
-            connection.write(resp.reap(effect.function), None)
+            connection.notify(resp.reap(effect.function))
 
     def close_idle(self, worker: str) -> None:
+        """Closes the worker's connections that carry nothing."""
         for connection in list(self._connections.get(worker, ())):
             if not connection.open:
                 connection.close()
 
     # Which connection
 
-    def place(self, worker: str, sent: Exchange, again: bool = False, fresh: bool = False) -> None:
-        connection = self._pick(worker, sent.id if again else None, fresh)
-        if connection is None:
-            sent.connection = None
-            # Where a worker is listed and none could be made, that is our want of descriptors, not its fault.
-            lacking = Outcome.MOOT if worker in self._addresses else Outcome.CONNECT_FAILED
-            self.loop.call_soon(lambda: sent.finish(lacking))
+    def place(self, worker: str, exchange: Exchange, fresh: bool = False) -> None:
+        """Puts the exchange on a connection to the worker, a new one where `fresh`."""
+        connection = self._pick(worker, exchange.id, fresh)
+        if connection is not None:
+            connection.send(exchange)
             return
-        sent.connection = connection
-        connection.open[sent.id] = sent
-        connection.write(sent.command, sent)
-
-    def _pick(self, worker: str, unless: bytes | None = None, fresh: bool = False) -> WorkerConnection | None:
-        """An idle connection, else a new one while there is room, else the one with the least on it: what
-        breaks one off then takes little else with it. Where `unless` was open before, an answer to that
-        could be taken for one to this. `fresh`: not an idle one, which may be broken, too."""
-        candidates = [
-            connection
-            for connection in self._connections.get(worker, ())
-            if not connection.retired
-            and len(connection.open) < self.limits.streams
-            and (unless is None or (unless not in connection.past and unless not in connection.open))
-        ]
-        candidates.sort(key=lambda connection: len(connection.open))
-        least = next((connection for connection in candidates if self._sound(connection)), None)
-        if least is not None and not least.open and not fresh:
-            return least
-        address = self._addresses.get(worker)
+        # Where a worker is listed and none could be made, that is our want of descriptors, not its fault.
+        lacking = Outcome.MOOT if worker in self._addresses else Outcome.CONNECT_FAILED
+        self.loop.call_soon(lambda: exchange.finish(lacking))
+
+    def _pick(self, worker: str, id: bytes, fresh: bool = False) -> WorkerConnection | None:
+        """An idle connection, else a new one while there is room, else the one with the least on it. `fresh`:
+        not an idle one, which may be broken, too."""
+        usable = selection.candidates(self._connections.get(worker, ()), id, self.limits.streams)
+        best = next((connection for connection in usable if self._sound(connection)), None)
+        if best is not None and not best.open and not fresh:
+            return best
         share = max(1, self.limits.connections // max(1, len(self._addresses)))
-        room = self._count < self.limits.connections and len(candidates) < share
-        if address is not None and (room or least is None):
-            try:
-                connection = WorkerConnection(self, worker, address)
-            except OSError:  # no descriptor left, or no such address
-                return least
-            self._connections.setdefault(worker, []).append(connection)
-            self._count += 1
-            self.dialled += 1
-            return connection
-        return least
+        room = self._count < self.limits.connections and len(usable) < share
+        if room or best is None:
+            return self._dial(worker) or best
+        return best
+
+    def _dial(self, worker: str) -> WorkerConnection | None:
+        """A new connection, on its way up; None without an address or a descriptor."""
+        address = self._addresses.get(worker)
+        if address is None:
+            return None
+        try:
+            connection = WorkerConnection(self, worker, address)
+        except OSError:
+            return None
+        self._connections.setdefault(worker, []).append(connection)
+        self._count += 1
+        self.dialled += 1
+        return connection
 
     def _sound(self, connection: WorkerConnection) -> bool:
-        """Whether a call may be written into it: the other end's close may have come, or be about to."""
-        if not connection.open and connection.connected and connection.idle_since_us < self._stale_us():
+        """Whether a call may be written into it: the other end's close may have come, or be about to, and
+        the rest of half an answer that nobody waits for would be taken for part of the next one."""
+        idle = not connection.open and connection.connected
+        if idle and (connection.mid_answer or connection.idle_since_us < self._stale_us()):
             connection.close()
         return not connection.ended
 
@@ -220,6 +240,7 @@
         return oldest is not None
 
     def drop(self, connection: WorkerConnection) -> None:
+        """Forgets a connection that has been closed."""
         open_here = self._connections.get(connection.worker, [])
         if connection in open_here:
             open_here.remove(connection)
@@ -235,24 +256,17 @@
         self.spoilt_answers += 1
         connection.break_off(Outcome.ERROR)
 
-    def _within(self, sent: Exchange, time: int) -> None:
-        sent.timer = self.loop.call_later(time, lambda: self._overdue(sent))
-
-    def _overdue(self, sent: Exchange) -> None:
-        self._give_up(sent)
-        sent.finish(Outcome.TIMEOUT)
-
-    def _give_up(self, sent: Exchange) -> None:
-        """Takes it from its connection. One that has said nothing since it was sent may be dead, and gets
-        nothing new."""
-        connection, sent.connection = sent.connection, None
-        if connection is None or connection.withdraw(sent) or sent.id not in connection.open:
-            return
-        if connection.heard_us < sent.began_us and connection.connected:
-            connection.retired = True
-        elif sent.key is not None and self.limits.cancel:
-            connection.write(resp.kill(sent.id), None)
-        connection.release(sent)
+    def _begin(self, worker: str, exchange: Exchange) -> None:
+        timeout = exchange.deadline_us - exchange.began_us
+        exchange.timer = self.loop.call_later(timeout, lambda: self._overdue(exchange))
+        self.place(worker, exchange)
+
+    def _overdue(self, exchange: Exchange) -> None:
+        """Its time is over. What was not sent whole can't arrive any more once it is given up."""
+        sent = exchange.progress is Progress.SENT
+        if exchange.carrier is not None:
+            exchange.carrier.give_up(exchange)
+        exchange.finish(Outcome.TIMEOUT if sent else Outcome.MOOT)
 
     def _tag(self) -> bytes:
         self._tags += 1
--- a/packages/node/src/walnutpost/node/resp.py
+++ b/packages/node/src/walnutpost/node/resp.py
@@ -1,7 +1,7 @@
 """Commands to workers and their answers: RESP arrays of bulk strings (PROTOCOL, "Front ends to executors").
 
 No I/O. hiredis was weighed for the reading and left: its reader sets no bound on the elements of an array,
-so one spoilt line has it reserve gigabytes.
+so one malformed line has it reserve gigabytes.
 """
 
 from __future__ import annotations
@@ -33,7 +33,7 @@
 SHORT |= {"qps": "throughput", "eps": "errors_per_s"}
 
 
-class Spoilt(Exception):
+class MalformedAnswer(Exception):
     """What came is no answer; nothing that follows on that connection can be trusted."""
 
 
@@ -91,7 +91,7 @@
 def _length(line: bytes, mark: bytes, most: int) -> int:
     digits = line[1:]
     if line[:1] != mark or not digits.isdigit() or len(digits) > 9 or int(digits) > most:
-        raise Spoilt(f"found {line[:HEAD_MOST]!r}, wanted a length of at most {most}")
+        raise MalformedAnswer(f"found {line[:HEAD_MOST]!r}, wanted a length of at most {most}")
     return int(digits)
 
 
@@ -99,12 +99,17 @@
     """Bytes of one connection to answers; holds no more than one answer may have."""
 
     def __init__(self, report_fields: Iterable[str]) -> None:
-        self._rest = b""
+        self._incomplete = b""
         self._fields = tuple(report_fields)
 
-    def feed(self, data: bytes) -> tuple[list[Answer], Spoilt | None]:
+    @property
+    def partial(self) -> bool:
+        """Whether an answer has come in part."""
+        return bool(self._incomplete)
+
+    def feed(self, data: bytes) -> tuple[list[Answer], MalformedAnswer | None]:
         """The whole answers, and what is wrong with what follows them, if anything is."""
-        data = self._rest + data if self._rest else data
+        data = self._incomplete + data if self._incomplete else data
         answers: list[Answer] = []
         at = 0
         try:
@@ -114,10 +119,10 @@
                     break
                 words, at = whole
                 answers.append(self._answer(words))
-        except Spoilt as error:
-            self._rest = b""
+        except MalformedAnswer as error:
+            self._incomplete = b""
             return answers, error
-        self._rest = data[at:]
+        self._incomplete = data[at:]
         return answers, None
 
     def _one(self, data: bytes, at: int) -> tuple[list[bytes], int] | None:
@@ -126,7 +131,7 @@
         if line is None:
             return None
         if _length(line, b"*", 4) != 4:
-            raise Spoilt(f"found an array {line!r}, wanted four words")
+            raise MalformedAnswer(f"found an array {line!r}, wanted four words")
         words: list[bytes] = []
         for most in (WORD_MOST, WORD_MOST, FIELDS_MOST, BODY_MOST):
             line, at = self._line(data, at)
@@ -136,7 +141,7 @@
             if len(data) < end + 2:
                 return None
             if data[end : end + 2] != END:
-                raise Spoilt("a string is longer than its length tells")
+                raise MalformedAnswer("a string is longer than its length tells")
             words.append(data[at:end])
             at = end + 2
         return words, at
@@ -146,7 +151,7 @@
         end = data.find(END, at, at + HEAD_MOST)
         if end < 0:
             if len(data) - at >= HEAD_MOST:
-                raise Spoilt("a line that tells a length doesn't end")
+                raise MalformedAnswer("a line that tells a length doesn't end")
             return None, at
         return data[at:end], end + 2
 
@@ -154,7 +159,7 @@
         id, word, fields, body = words
         outcome = OUTCOMES.get(word) or PROBES.get(word)
         if outcome is None:
-            raise Spoilt(f"found the word {word!r}")
+            raise MalformedAnswer(f"found the word {word!r}")
         warmth, crowd, copies = Warmth.UNTOLD, 0, None
         report: tuple[float, ...] = ()
         if fields != b"-":
@@ -170,7 +175,7 @@
                     elif name == "use":
                         report = self._report(value)
             except ValueError as error:
-                raise Spoilt(f"fields {fields[:80]!r}: {error}") from error
+                raise MalformedAnswer(f"fields {fields[:80]!r}: {error}") from error
         return Answer(id, outcome, word in PROBES, body, warmth, crowd, copies, report)
 
     def _report(self, text: str) -> tuple[float, ...]:
--- a/packages/node/tests/node_rig.py
+++ b/packages/node/tests/node_rig.py
@@ -95,6 +95,7 @@
         self.state = WorkerState.READY
         self.got: list[Words] = []
         self.streams: list[Stream] = []
+        self.ends: list[str] = []  # how each connection that the other side ended has ended: closed or reset
         self.answer: Callable[[Words], bytes | None] = self.good
         self._listener = Listener(loop, ("127.0.0.1", 0))
         self._loop = loop
@@ -132,8 +133,10 @@
                         return stream.reset()
                     if back is not None:
                         stream.send_all(back)
+            self.ends.append("closed")
         except OSError:
-            pass
+            if not stream.closed:
+                self.ends.append("reset")
         finally:
             stream.close()
 
@@ -194,17 +197,29 @@
 
 
 class World:
-    def __init__(self, loop: Loop, workers: int, **changes: Any) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        workers: int,
+        make_worker: Callable[[Loop, str], Worker] = Worker,
+        **changes: Any,
+    ) -> None:
         self.loop = loop
         self.log = Quiet()
-        self.workers = [Worker(loop, f"s-{i}") for i in range(workers)]
+        self.workers = [make_worker(loop, f"s-{i}") for i in range(workers)]
         topology = {"all": True, "rev": 0, "targets": [w.target for w in self.workers]}
         self.name_server = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.name_server.setblocking(False)
         self.name_server.bind(("127.0.0.1", 0))
         known = {"offset": 1, "batch": [{"offset": 1, "topology": topology}]}
         dns = "{}:{}".format(*self.name_server.getsockname())
-        self.node = Node(loop, parse(config_text(known=known, dns=dns, **changes)), self.log)
+        self._changes = {"known": known, "dns": dns, **changes}
+        self.node = Node(loop, parse(config_text(**self._changes)), self.log)
+
+    def next_life(self) -> None:
+        """A new node of the same name, address and configuration; the former one's listener is closed."""
+        listen = "{}:{}".format(*self.node.listener.address)
+        self.node = Node(self.loop, parse(config_text(**{**self._changes, "listen": listen})), self.log)
 
     def client(self) -> Client:
         return Client(self.loop, self.node.listener.address)
@@ -217,7 +232,12 @@
         raise AssertionError("it never came to that")
 
 
-def play(script: Callable[[World], None], workers: int = 2, **changes: Any) -> None:
+def play(
+    script: Callable[[World], None],
+    workers: int = 2,
+    make_worker: Callable[[Loop, str], Worker] = Worker,
+    **changes: Any,
+) -> None:
     """Runs `script` beside a node; an error anywhere in the loop is the test's."""
     errors: list[BaseException] = []
     loop = Loop(VirtualClock(), lambda name, error: errors.append(error))
@@ -225,7 +245,7 @@
     worlds: list[World] = []
 
     def body() -> None:
-        worlds.append(World(loop, workers, **changes))
+        worlds.append(World(loop, workers, make_worker, **changes))
         script(worlds[0])
 
     try:
--- a/packages/node/tests/test_node_protocols.py
+++ b/packages/node/tests/test_node_protocols.py
@@ -118,7 +118,7 @@
 READ = resp.Answer(b"r1", Outcome.OK, False, b"\r\n\x00z", Warmth.AWAITED_LOAD, 3, None, (0.61, 0.25))
 
 
-def answers(data: bytes) -> tuple[list[resp.Answer], resp.Spoilt | None]:
+def answers(data: bytes) -> tuple[list[resp.Answer], resp.MalformedAnswer | None]:
     return resp.Reader(("utilization", "x0")).feed(data)
 
 
