The load ration: each order is a reservation until it must have arrived

Cause: Loading._order forgot an order one window and some tens of ms after its decision (loading.py: the loop over self._orders, end since - self._grace), but the rule counts it as it arrives. Over a cut or stalled link, or to a stopped worker, orders decided at any time wait and arrive together, next to those that the ration had been given out for anew. Beside it: requests counted as they were read (Router._arrive), copied and taken-back ones too (RequestGone gave back the newest one, if it was open), and a new life began with all free orders while the former's were within the window.

An order is open from its decision until its answer, and then counts for one window; one that ended in RESET or TIMEOUT may still arrive until its worker answers what was sent later, restarts later or leaves. A new order must fit the requests of every span that ends now, since the open ones may arrive together after others have left the window. Requests give ground from the earliest time they may have come, once a worker's OK, FULL or MISS proved them genuine. A node's life begins with the free orders spent for one window, as nothing tells of the life before. No more orders go where one is overdue and nothing was heard since.

More than 512 sends had no limit; a return from silence forgot what was sent.

Tests changed: two asked for latest equal to the grace of the former ration, now the drain grace; the ration's two tests now tell the ends of orders and answer requests.

--- a/packages/adapter/src/walnutpost/adapter/host.py
+++ b/packages/adapter/src/walnutpost/adapter/host.py
@@ -37,7 +37,7 @@
         try:
             match event:
                 case codec.Started(seed, text):
-                    told = replace(settings.parse_settings(text), orders_arrive_at_once=True)
+                    told = replace(settings.parse_settings(text), ideal_network=True)
                     self._routers[instance] = Router(told, seed)
                 case codec.Stopped():
                     del self._routers[instance]
--- a/packages/interface/src/walnutpost/interface/__init__.py
+++ b/packages/interface/src/walnutpost/interface/__init__.py
@@ -119,8 +119,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """`orders_arrive_at_once`: a hold order reaches its worker as it is given, as in the simulator; on a
-    network it may arrive much later."""
+    """`ideal_network`: a hold order reaches its worker as it is given and each request is genuine, as in the
+    simulator. On a real one orders may arrive much later, and clients may copy or invent requests.
+    `restarts_unseen`: an earlier life under the same name may have ended just before this one began, and
+    nothing tells of it."""
 
     classes: tuple[RequestClass, ...]
     tenants: tuple[Tenant, ...]
@@ -143,7 +145,8 @@
     over_share_worth: float
     report_fields: tuple[str, ...]
     memory_by_kind: tuple[float, ...]
-    orders_arrive_at_once: bool = False
+    ideal_network: bool = False
+    restarts_unseen: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,9 +213,10 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldEnded:
-    """How a hold order ended. MOOT and CONNECT_FAILED: it never reached the worker whole. RESET: it may have,
-    but will not any more. TIMEOUT: it may have, or may still. Any other outcome: the worker has answered it.
-    `wanted` repeats the order's copies, and is 0 where it only asked or where the transport does not tell."""
+    """How a hold order ended. MOOT and CONNECT_FAILED: it never reaches the worker whole. RESET and TIMEOUT:
+    it may have, or may still (a stopped worker reads what its kernel holds, also after a reset). Any other
+    outcome: the worker has answered it. `wanted` repeats the order's copies, and is 0 where it only asked or
+    where the transport does not tell."""
 
     worker: int
     function: int
--- a/packages/node/src/walnutpost/node/config.py
+++ b/packages/node/src/walnutpost/node/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from walnutpost import interface as api
@@ -56,7 +56,7 @@
             raise ConfigError(f"{key}: missing")
     try:
         root = Told(told["settings"], "settings.")
-        settings = parse_settings(json.dumps(told["settings"]).encode())
+        settings = replace(parse_settings(json.dumps(told["settings"]).encode()), restarts_unseen=True)
         limits, profiles = root.part("PolicyLimits"), root.parts("Profiles")
         allowed = Told(told.get("limits") or {}, "limits.")
         return Config(
--- a/packages/policy/src/walnutpost/policy/watching.py
+++ b/packages/policy/src/walnutpost/policy/watching.py
@@ -1,25 +1,22 @@
 """Silence: which workers are asked, which are set aside, and what becomes of the work out there."""
 
 from walnutpost import interface as api
-from walnutpost.interface import Outcome, WorkerState
-from walnutpost.policy.loading import ASK, RATION_HELD
-from walnutpost.policy.placing import QUIET_LEAST, QUIET_MOST, Placing
-from walnutpost.policy.state import Worker
+from walnutpost.policy.loading import RATION_HELD
+from walnutpost.policy.placing import Placing
+from walnutpost.policy.state import QUIET_LEAST, QUIET_MOST, Worker
 
 SET_ASIDE_MOST, TRIAL_AFTER = 0.5, 0.5  # of the ready workers; aims between questions to a silent one
 
 
 class Watching(Placing):
-    def _hear(self, w: Worker) -> None:
+    def _hear(self, w: Worker, sent: int) -> None:
         if w.silent_since is not None and self._now - w.silent_since > self._aim:
             w.started = self._now  # it may have restarted: cold until the list tells
-            w.sends.clear()
-        w.heard, w.asked, w.silent_since = self._now, None, None
+        w.heard, w.asked, w.silent_since, w.ordered = self._now, None, None, 0
+        self._settle_late(w, sent)
 
     def _watch(self, w: Worker) -> None:
-        """A quiet worker with work out is asked for its copies; a live one answers at once, however busy.
-        Each latency the calls still out are fewer by e, so the told price of a question sets the wait.
-        Guards against machines that vanish without a reset. Harm: late echoes set a busy worker aside."""
+        """A quiet worker with work out is asked for its copies; a live one answers at once, however busy."""
         now, silent = self._now, w.silent_since is not None
         quiet = min(max(self._quiet * self._latency, QUIET_LEAST * self._aim), QUIET_MOST * self._aim)
         if silent or (w.out and now - w.heard >= quiet):
@@ -33,13 +30,12 @@
 
     def _question(self, w: Worker) -> None:
         fn = next(iter(self._functions.values()), None)
-        if fn is not None and self._order(fn, w, ASK, RATION_HELD):
+        if fn is not None and self._order(fn, w, 0, RATION_HELD):
             w.asked = self._now if w.asked is None else w.asked
 
-    def _broken(self, w: Worker, outcome: Outcome) -> None:
-        """A connection may break by itself, and a dead worker takes no new one: after a reset it is asked,
-        and set aside if that breaks too. Guards against resets on the way. Harm: the dead get a call more."""
-        if outcome is Outcome.RESET and w.asked is None and w.silent_since is None:
+    def _broken(self, w: Worker, outcome: api.Outcome) -> None:
+        """One connection may break by itself: after a reset it is asked, and set aside if that breaks too."""
+        if outcome is api.Outcome.RESET and w.asked is None and w.silent_since is None:
             self._question(w)
         else:
             self._silence(w)
@@ -49,11 +45,10 @@
         if w.silent_since is None and aside + 1 <= SET_ASIDE_MOST * self._ready:
             w.silent_since, w.asked = self._now, None
             self._actions.append(api.Log(f"worker {w.info.id} set aside as silent, {w.out} requests out"))
-            self._void(w)
+            self._forget_copies(w)
             self._later(self._now + TRIAL_AFTER * self._aim, "watch", w.info.id)
 
-    def _void(self, w: Worker, rescue: bool = True) -> None:
-        """Belief in a worker's copies ends; safe requests out there get another attempt elsewhere."""
+    def _forget_copies(self, w: Worker, rescue: bool = True) -> None:
         for fn in self._functions.values():
             fn.copies.pop(w.info.id, None)
             fn.pending.pop(w.info.id, None)
@@ -63,8 +58,3 @@
             if stuck and self._may_try_again(req):
                 req.avoid.append(w.info.id)
                 self._place(req)
-
-    def _leave(self, w: Worker) -> None:
-        """From the moment it is told, a draining or gone worker gets neither call nor order."""
-        w.ready = False
-        self._void(w, rescue=w.info.state is WorkerState.GONE)
--- a/packages/policy/tests/rig.py
+++ b/packages/policy/tests/rig.py
@@ -71,6 +71,11 @@
         )
         return self._next
 
+    def feed_request(self, function: int) -> list[api.Action]:
+        """The actions of a request for the function."""
+        self.ask(function=function)
+        return self.actions
+
     def ended(
         self,
         request: int,
@@ -84,9 +89,15 @@
         return self.feed(api.AttemptEnded(request, attempt, worker, outcome, latency, ok, warmth, 0, ()))
 
     def held(
-        self, worker: int, copies: int = 1, function: int = 7, outcome: api.Outcome = api.Outcome.OK
+        self,
+        worker: int,
+        copies: int = 1,
+        function: int = 7,
+        outcome: api.Outcome = api.Outcome.OK,
+        wanted: int = 0,
     ) -> list[api.Action]:
-        return self.feed(api.HoldEnded(worker, function, outcome, 500_000, copies))
+        """`wanted` is above 0 where the end is that of an order of this router's, not of a question."""
+        return self.feed(api.HoldEnded(worker, function, outcome, 500_000, copies, wanted))
 
     def pass_time(self, span: int, step: int = 20_000) -> list[api.Action]:
         """Lets the clock run with nothing but timers; returns all that was done meanwhile."""
--- a/packages/policy/tests/test_defences.py
+++ b/packages/policy/tests/test_defences.py
@@ -381,12 +381,12 @@
     assert sends_to_the_busy_one(1) > 10
 
 
-def test_old_signs_fade() -> None:
+def test_old_samples_fade() -> None:
     rig = Rig(2)
     slow = rig.router._workers[1]
     for _ in range(5):
         rig.router._now = rig.now
-        rig.router._sign(slow, 4.0, 1)
+        rig.router._sample(slow, 4.0, 1)
     assert rig.router._slowness(slow) > 3
     rig.router._now += 3 * KEEP
     assert rig.router._slowness(slow) == 1.0
--- a/packages/policy/tests/test_guards.py
+++ b/packages/policy/tests/test_guards.py
@@ -183,37 +183,45 @@
 )
 
 
-def test_counted_orders_stay_inside_the_sliding_ration() -> None:
-    rig = Rig(workers=8, settings=RATIONED)
+@pytest.mark.parametrize("ideal", [True, False])
+def test_counted_orders_stay_inside_the_sliding_ration(ideal: bool) -> None:
+    rig = Rig(workers=8, settings=replace(RATIONED, ideal_network=ideal))
     given: list[int] = []
     taken: list[int] = []
+    tries: dict[int, int] = {}
     for n in range(200):
         rig.now += 37_000
         taken.append(rig.now)
         rig.ask(function=n)
-        fresh = orders(rig.actions)
+        fresh = list(rig.actions)
         while fresh:
-            given.append(rig.now)
-            since = rig.now - 10 * SECOND
-            assert len([t for t in given if t >= since]) <= 3 + 0.5 * len([t for t in taken if t > since])
-            order = fresh.pop()
-            fresh += orders(rig.held(order.worker, function=order.function))
+            action = fresh.pop()
+            if isinstance(action, api.Send):  # a miss proves the request genuine, as an answer does
+                fresh += rig.ended(action.request, tries.get(action.request, 0), action.worker, Outcome.MISS)
+                tries[action.request] = tries.get(action.request, 0) + 1
+            elif isinstance(action, api.Hold) and action.copies:
+                given.append(rig.now)
+                since = rig.now - 10 * SECOND
+                assert len([t for t in given if t >= since]) <= 3 + 0.5 * len([t for t in taken if t > since])
+                fresh += rig.held(action.worker, function=action.function, wanted=1)
     assert len(given) > 30
 
 
 def test_orders_that_may_have_arrived_late_still_count_when_the_next_leaves() -> None:
-    """An order counts when it arrives: five of one scale-up came late, and met the next ten seconds on."""
+    """An order counts as it arrives: three were answered late, and count for a window from then."""
     spare = replace(RATIONED, guards=replace(RATIONED.guards, load_share=0.0))
     rig = Rig(workers=8, settings=spare)
-    for function in range(3):
-        rig.ask(function=function)
-        rig.held(orders(rig.actions)[0].worker, function=function)
-    rig.now += 10 * SECOND + 20_000
-    rig.ask(function=9)
-    assert not orders(rig.actions)
-    rig.now += 2 * rig.router._grace
-    rig.ask(function=10)
-    assert orders(rig.actions)
+    rig.now += 10 * SECOND + 20_000  # an earlier life's orders count no more
+    sent = [orders(rig.feed_request(function))[0] for function in range(3)]
+    rig.now += 5 * SECOND
+    for order in sent:
+        rig.held(order.worker, function=order.function, wanted=1)
+    rig.now += 5 * SECOND + 20_000
+    assert not orders(rig.feed_request(9)), "one window after they were decided"
+    rig.now += 5 * SECOND - 20_000
+    assert not orders(rig.feed_request(10)), "one window after they arrived at the latest"
+    rig.now += 20_000
+    assert orders(rig.feed_request(11))
 
 
 def test_with_the_ration_spent_a_load_on_miss_site_sends_straight_to_the_hash_order() -> None:
@@ -247,7 +255,7 @@
     for number, wid in enumerate(first_in_order()[:2]):
         assert [s.worker for s in of(api.Send, rig.actions)] == [wid] and not of(api.Hold, rig.all)
         rig.ended(rid, number, wid, Outcome.MISS, warmth=api.Warmth.UNTOLD)
-    assert orders(rig.actions) == [api.Hold(first_in_order()[0], 7, 1, rig.router._grace)]
+    assert orders(rig.actions) == [api.Hold(first_in_order()[0], 7, 1, SETTINGS.guards.drain_grace)]
     rig.ask()
     assert not of(api.Send, rig.actions), "with a load of its own under way it waits for that"
     loading = Rig(settings=replace(SETTINGS, front_ends=200, loads_on_miss=True))
--- a/packages/policy/tests/test_mechanism.py
+++ b/packages/policy/tests/test_mechanism.py
@@ -17,7 +17,7 @@
     rig = Rig()
     rig.ask()
     assert not of(api.Send, rig.actions)
-    assert orders(rig.actions) == [api.Hold(first_in_order()[0], 7, 1, rig.router._grace)]
+    assert orders(rig.actions) == [api.Hold(first_in_order()[0], 7, 1, SETTINGS.guards.drain_grace)]
 
 
 def test_hash_order_is_the_same_at_every_front_end() -> None:
