--- a/packages/node/tests/test_client_terms.py
+++ b/packages/node/tests/test_client_terms.py
@@ -18,15 +18,14 @@
 from walnutpost.gateway import CallArrived, Served
 from walnutpost.loop import VirtualClock, scheduler
 from walnutpost.node import rpc
-from walnutpost.node.clients import (
-    ACCEPT_PAUSE_US,
-    OUT_ENOUGH,
-    OUT_MOST,
-    PATIENCE,
-    PAUSE_US,
-    USELESS_MOST,
+from walnutpost.node.client_connection import (
+    READ_PAUSE_US,
+    REJECTED_BEFORE_PAUSE,
+    REJECTED_MOST,
     Connection,
 )
+from walnutpost.node.client_output import OUT_HIGH_WATER, OUT_MOST
+from walnutpost.node.clients import ACCEPT_PAUSE_US
 
 FUNCTION = "7f3a9c21e0b4d655"
 LARGE = bytes(rpc.BODY_MOST)  # two such requests are more than one read
@@ -101,7 +100,7 @@
 
     def fetch(self) -> None:
         del self._connection._stream.send_now, self._connection._stream.on_writable
-        self._connection._flush()
+        self._connection._output.flush()
 
 
 # How long a request waited before it was read
@@ -249,12 +248,12 @@
     def script(world: World) -> None:
         told = arrivals(world, monkeypatch)
         client = world.client()
-        for _ in range(PATIENCE + 1):
+        for _ in range(REJECTED_BEFORE_PAUSE + 1):
             client.send(method="no such class")
             client.next()
         client.send()
-        assert client.next()[2] is None and told[0].waited == PAUSE_US
-        world.loop.sleep(2 * PAUSE_US)
+        assert client.next()[2] is None and told[0].waited == READ_PAUSE_US
+        world.loop.sleep(2 * READ_PAUSE_US)
         client.send()
         assert client.next()[2] is None and told[1].waited == 0
 
@@ -265,7 +264,7 @@
     def script(world: World) -> None:
         told = arrivals(world, monkeypatch)
         client = world.client()
-        for _ in range(PATIENCE + 1):
+        for _ in range(REJECTED_BEFORE_PAUSE + 1):
             client.send(method="no such class")
             client.next()
         world.loop.sleep(1_000 * MS)
@@ -340,7 +339,7 @@
         world.until(lambda: len(worker.calls()) == 2)
         Unfetched(monkeypatch, only_connection(world))
         client.stream.end_writing()
-        world.until(lambda: not world.node.clients.open_ids)
+        world.until(lambda: not world.node.clients.requests.request_ids)
         assert world.node.clients.connections
         world.until(lambda: not world.node.clients.connections)
 
@@ -363,7 +362,7 @@
         client.raw(request(2) + request(3))
         answers = sorted([client.next(), client.next()], key=lambda answer: int(answer[1]))
         assert answers[0] == [1, 2, FAILED, None] and answers[1][1:3] == [3, None]
-        assert not world.node.clients.open_ids and not only_connection(world).open
+        assert not world.node.clients.requests.request_ids and not only_connection(world).open
 
     with pytest.raises(ZeroDivisionError):  # told by the loop
         run(script)
@@ -378,7 +377,7 @@
         silence(world)
         number = client.send()
         world.until(lambda: len(worker.calls()) == 2)
-        monkeypatch.setattr(only_connection(world)._reader, "feed", lambda data: 1 / 0)
+        monkeypatch.setattr(only_connection(world)._input._reader, "feed", lambda data: 1 / 0)
         client.send()
         world.loop.sleep(10 * MS)
         worker.streams[0].send_all(reply(worker.calls()[1][1], b"OK", b"-", b"late"))
@@ -414,7 +413,7 @@
         broken, sound = world.client(), world.client()
         world.until(lambda: len(clients.connections) == 2)
         first, second = clients.connections
-        monkeypatch.setattr(first, "_read" if where != "sweep" else "look", lambda *_: 1 / 0)
+        monkeypatch.setattr(first, "_read" if where != "sweep" else "check_timeouts", lambda *_: 1 / 0)
         if where == "end":
             ending = world.loop.spawn(world.node.shut_down)
             world.loop.sleep(690 * MS)
@@ -426,7 +425,7 @@
             sound.raw(b"\x94")
             world.until(lambda: second not in clients.connections)
         else:
-            monkeypatch.setattr(clients, "_most", 2)
+            monkeypatch.setattr(clients, "_connections_most", 2)
             first._stream.on_readable(None)
             broken.raw(request(1))  # unread when room is made
             late = world.client()
@@ -499,15 +498,15 @@
         warm(world, client)
         connection = only_connection(world)
         window = Unfetched(monkeypatch, connection)
-        connection.write(msgpack.packb(bytes(OUT_ENOUGH)))
+        connection.write(msgpack.packb(bytes(OUT_HIGH_WATER)))
         checks = [msgpack.packb([0, number, "check", [{}]]) for number in range(2, 20_002)]
         sending = world.loop.spawn(client.raw, b"".join(checks))
         world.loop.sleep(2_000 * MS)
-        kept = connection._unfetched
-        assert kept < OUT_ENOUGH + 3 * rpc.READ_MOST
+        kept = connection._output.size
+        assert kept < OUT_HIGH_WATER + 3 * rpc.READ_MOST
         window.fetch()
         began = world.loop.now()
-        assert len(client.next()) == OUT_ENOUGH
+        assert len(client.next()) == OUT_HIGH_WATER
         assert [client.next()[1] for _ in range(6_000)] == list(range(2, 6_002))
         assert world.loop.now() - began < 100 * MS
         assert [client.next()[1] for _ in checks[6_000:]] == list(range(6_002, 20_002))
@@ -527,7 +526,7 @@
         world.until(lambda: len(worker.calls()) == 2)
         began = world.loop.now()
         flood = [
-            msgpack.packb([0, n, "no such class", [{}, b""]]) for n in range(number + 1, USELESS_MOST + 9)
+            msgpack.packb([0, n, "no such class", [{}, b""]]) for n in range(number + 1, REJECTED_MOST + 9)
         ]
         client.raw(b"".join(flood))
         told = []
@@ -667,12 +666,12 @@
         client = world.client()
         warm(world, client)
         monkeypatch.setattr(rpc, "READ_MOST", 1024)
-        numbers = range(2, 2 * PATIENCE)
+        numbers = range(2, 2 * REJECTED_BEFORE_PAUSE)
         client.raw(b"".join(request(number, bytes(900)) for number in numbers))
         client.stream.end_writing()
         began = world.loop.now()
         assert [client.next() for _ in numbers] == [[1, number, REFUSED, None] for number in numbers]
-        assert world.loop.now() - began < PAUSE_US
+        assert world.loop.now() - began < READ_PAUSE_US
 
     run(script)
 
@@ -685,7 +684,7 @@
         client.send()
         world.until(lambda: len(worker.calls()) == 2)
         connection = only_connection(world)
-        connection._deaf = True
+        connection._input.discarding = True
         client.raw(bytes(2 * rpc.READ_MOST))
         client.stream.end_writing()
         connection.read()
@@ -728,7 +727,7 @@
 
         told = arrivals(world, monkeypatch, during=meanwhile)
         client.send()
-        world.until(lambda: told and not world.node.clients.open_ids)
+        world.until(lambda: told and not world.node.clients.requests.request_ids)
         world.loop.sleep(100 * MS)
         assert len(calls(world)) == 1 and world.node.core.open_calls == 0
 
--- a/packages/node/tests/test_crossings.py
+++ b/packages/node/tests/test_crossings.py
@@ -26,7 +26,7 @@
 from walnutpost.interface import Outcome
 from walnutpost.loop import Listener, Loop, VirtualClock
 from walnutpost.node import run
-from walnutpost.node.clients import PATIENCE
+from walnutpost.node.client_connection import REJECTED_BEFORE_PAUSE
 from walnutpost.node.config import parse
 from walnutpost.node.connection import WorkerConnection
 from walnutpost.node.run import Node
@@ -99,7 +99,7 @@
     def script(world: World) -> None:
         client = call_that_waits(world, held)
         leave(client)
-        world.until(lambda: not world.node.clients.open_ids)
+        world.until(lambda: not world.node.clients.requests.request_ids)
         held.come_up()
         world.loop.sleep(SECOND)
         assert len(world.workers[0].calls()) == 1 and world.node.core.open_calls == 0
@@ -199,7 +199,7 @@
         world.until(lambda: not room[0])
         assert len(connection._out) == 1
         other.stream.close()
-        world.until(lambda: len(world.node.clients.open_ids) == 1)
+        world.until(lambda: len(world.node.clients.requests.request_ids) == 1)
         assert not connection._out
         room[0] = 1 << 20
         connection._flush()
@@ -303,12 +303,12 @@
             worker.answer = lambda words: None
         client = world.client()
         client.send(budget="1000")
-        for _ in range(PATIENCE + 1):
+        for _ in range(REJECTED_BEFORE_PAUSE + 1):
             client.send(method="no such class")
             client.next()
         at = world.loop.now()
         leave(client)
-        world.until(lambda: not world.node.clients.open_ids, step=MS)
+        world.until(lambda: not world.node.clients.requests.request_ids, step=MS)
         assert world.loop.now() - at <= 5 * MS
 
     play(script)
@@ -393,7 +393,7 @@
         first, second = world.client(), world.client()
         world.until(lambda: len(world.node.clients.connections) == 2)
         connection = next(iter(world.node.clients.connections))
-        monkeypatch.setattr(connection, "_take", lambda message: 1 / 0)
+        monkeypatch.setattr(connection._requests, "_take", lambda message: 1 / 0)
         first.send()
         assert first.next() is None
         second.send()
--- a/packages/node/tests/test_node.py
+++ b/packages/node/tests/test_node.py
@@ -14,7 +14,8 @@
 from node_rig import SECOND, Words, Worker, World, listing, play, reply
 from walnutpost.gateway import HoldDone, Order
 from walnutpost.interface import Outcome, WorkerState
-from walnutpost.node.clients import OPEN_MOST, SILENT_US
+from walnutpost.node.client_connection import MESSAGE_TIMEOUT_US
+from walnutpost.node.client_context import OPEN_MOST
 
 REFUSED, FAILED = ["Overloaded", {}], ["Internal", {}]
 
@@ -171,7 +172,7 @@
         world.until(lambda: len(worker.calls()) == 2)
         client.raw(msgpack.packb([2, "interrupt", [number]]))
         world.until(lambda: worker.got[-1] == [b"KILL", worker.calls()[1][1]])
-        assert world.node.core.open_calls == 0 and not world.node.clients.open_ids
+        assert world.node.core.open_calls == 0 and not world.node.clients.requests.request_ids
 
     play(script, workers=1)
 
@@ -220,7 +221,7 @@
         assert (answer[1], answer[2][0]) == (1, FAILED[0]) and twice.next() is None
         began = world.loop.now()
         assert silent.next() is None and half.next() is None
-        assert world.loop.now() - began < SILENT_US + SECOND
+        assert world.loop.now() - began < MESSAGE_TIMEOUT_US + SECOND
 
     play(script)
 
--- a/packages/node/tests/test_worker_terms.py
+++ b/packages/node/tests/test_worker_terms.py
@@ -447,7 +447,7 @@
         told.append(ended)
         then()
 
-    world.node.clients.identities[call] = (b"%016x" % call, "valuation", "")
+    world.node.clients.requests.identities[call] = (b"%016x" % call, "valuation", "")
     start = Start(call, 0, worker.name, FUNCTION, None, b"body", timeout, call, False, latest)
     world.node.workers.start(start, done)
     return told
@@ -532,7 +532,7 @@
         other.send()
         world.until(lambda: not throttle.room)
         other.stream.close()
-        world.until(lambda: len(world.node.clients.open_ids) == 1)
+        world.until(lambda: len(world.node.clients.requests.request_ids) == 1)
         throttle.open()
         world.loop.sleep(10 * MS)
         worker.streams[0].send_all(reply(call[1], b"OK", b"-", b"mine"))
@@ -576,7 +576,7 @@
         worker.streams[0].reset()
         world.until(lambda: held.waiting)
         client.stream.close()
-        world.until(lambda: not world.node.clients.open_ids)
+        world.until(lambda: not world.node.clients.requests.request_ids)
         held.come_up()
         world.loop.sleep(SECOND)
         assert len(worker.calls()) == 1
@@ -719,7 +719,7 @@
         number = client.send(rid="00000000000000aa")
         world.until(lambda: len(worker.calls()) == 2)
         client.raw(msgpack.packb([2, "interrupt", [number]]))
-        world.until(lambda: not world.node.clients.open_ids)
+        world.until(lambda: not world.node.clients.requests.request_ids)
         other.send(rid="00000000000000aa")
         world.until(lambda: len(worker.calls()) == 3)
         with suppress(OSError):
