--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -163,6 +163,7 @@
         self.ended: dict[str, float] = {}
         self.on_call: Callable[[str, str], float | None] = lambda rid, path: None  # own work time in s
         self.is_draining = False
+        self.rejects_while_draining = True  # new calls, with BUSY; orders to load are always rejected then
         self.started_ms = 0
         self.port = 0
         self._server: asyncio.Server | None = None
@@ -228,7 +229,7 @@
         self, command: list[bytes], fields: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
         rid, path = command[1].decode(), fields["path"]
-        if self.is_draining:
+        if self.is_draining and self.rejects_while_draining:
             writer.write(encode_array(command[1], b"BUSY", self._report().encode(), b""))
             return
         if not self.copies.get(path):
@@ -342,6 +343,7 @@
         self.port = port
         self.record = record
         self.open: dict[int, asyncio.Future[tuple[float, Any, Any]]] = {}
+        self._rids: dict[int, str] = {}
         self._last_id = 0
 
     async def connect(self) -> Client:
@@ -355,9 +357,12 @@
             while data := await self.reader.read(65536):
                 unpacker.feed(data)
                 for _, id, error, result in unpacker:
-                    future = self.open.pop(id, None)
+                    future, rid = self.open.pop(id, None), self._rids.pop(id, "")
+                    answer = (time.time(), error, result)
+                    if rid:
+                        self.record("client-answer", rid=rid, outcome=outcome_of(answer))
                     if future is not None and not future.done():
-                        future.set_result((time.time(), error, result))
+                        future.set_result(answer)
         except ConnectionError:
             pass
         for future in self.open.values():
@@ -372,7 +377,8 @@
         fields = {"rid": rid, "budget": str(budget_ms), "obj": function, "attrs": f"memory_mb:300;lanes:{lanes}"}
         future: asyncio.Future[tuple[float, Any, Any]] = asyncio.get_running_loop().create_future()
         self.open[self._last_id] = future
-        self.record("client-call", rid=rid, kind=kind, budget=budget_ms)
+        self._rids[self._last_id] = rid
+        self.record("client-call", rid=rid, kind=kind, path=function, budget=budget_ms)
         self.writer.write(msgpack.packb([0, self._last_id, kind, [fields, body]]))
         return self._last_id, future
 
