--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,18 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 import standins
 from network import Link
-from standins import Client, Executor, FrontEnd, KeyGroup, NameServer, Record, Requests, function_id, outcome_of, run_case
+from standins import (
+    Client,
+    Executor,
+    FrontEnd,
+    KeyGroup,
+    NameServer,
+    Record,
+    Requests,
+    function_id,
+    outcome_of,
+    run_case,
+)
 
 EXECUTORS, SOCKETS = 36, 256
 CUT_FROM_S, CUT_S, END_S, DEADLINE_S = 6.0, 5.9, 14.0, 2.5
@@ -71,19 +82,32 @@
         if len(client.open) < 32:
             function = function_id(RANDOM.randrange(FUNCTIONS))
             _, answer = client.call(function, rid, int(DEADLINE_S * 1000), "reservation", lanes=8, token=rid)
-            answers.append(answer)
+            answers.append((rid, answer))
         await asyncio.sleep(RANDOM.expovariate(REQUESTS_PER_S))
     await asyncio.sleep(DEADLINE_S + 0.5)
     counts: dict[str, int] = {}
-    for answer in answers:
+    outcomes = {}
+    for rid, answer in answers:
         outcome = outcome_of(answer.result()) if answer.done() and not answer.exception() else "none"
+        outcomes[rid] = outcome
         counts[outcome] = counts.get(outcome, 0) + 1
     record("summary", **counts)
     print(counts)
     if counts.get("served", 0) < 500:
         raise RuntimeError("the front end served too little for the case to mean anything")
-    runs = collections.Counter(rid for each in executors for rid in each.runs)
-    return [f"the keyed request {rid} ran {count} times" for rid, count in runs.items() if count > 1]
+    runs = collections.defaultdict(list)
+    for each in executors:
+        for began, rid in each.run_times:
+            runs[rid].append((began, each.name))
+    problems = []
+    for rid, times in runs.items():
+        if len(times) > 1:
+            (first, first_name), *_, (last, last_name) = sorted(times)
+            where = f"at {first_name} and {last - first:.2f} s later at {last_name}"
+            problems.append(
+                f"the keyed request {rid}, answered {outcomes.get(rid)}, ran {len(times)} times: {where}"
+            )
+    return problems
 
 
 if __name__ == "__main__":
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,17 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 import standins
-from standins import Client, Executor, FrontEnd, NameServer, Record, Requests, function_id, outcome_of, run_case
+from standins import (
+    Client,
+    Executor,
+    FrontEnd,
+    NameServer,
+    Record,
+    Requests,
+    function_id,
+    outcome_of,
+    run_case,
+)
 
 ANSWER_DELAY_S = 1.0  # of each answer of the name server, while it is slow
 SLOW_FROM_S, DRAIN_AT_S, GONE_AT_S, SLOW_UNTIL_S, END_S = 4.0, 4.5, 7.0, 9.9, 12.0
@@ -91,12 +101,16 @@
         for what, times in (("call", each.calls), ("order to load", each.orders)):
             for came, *_ in times:
                 if came > limit:
-                    problems.append(f"{what} arrived at {each.name} {came - limit:.2f} s after the grace had ended")
+                    problems.append(
+                        f"{what} arrived at {each.name} {came - limit:.2f} s after the grace had ended"
+                    )
     late = {rid for came, rid, _ in serving.calls if came > limit}
     lost = late & set(serving.runs) - set(serving.ended) & failed
     record("summary", told_s=told_at - drained_at, answers=counts, late=len(problems))
-    print(f"told {told_at - drained_at:.2f} s after the drain began; answers {counts}; "
-          f"late calls that began to run, were cut off by the executor's end and failed: {len(lost)}")
+    print(
+        f"told {told_at - drained_at:.2f} s after the drain began; answers {counts}; "
+        f"late calls that began to run, were cut off by the executor's end and failed: {len(lost)}"
+    )
     if not before or not counts.get("served"):
         raise RuntimeError("the executors that drain got no call before they drained")
     return problems
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,7 +15,17 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 import standins
 from network import Link
-from standins import Client, Executor, FrontEnd, NameServer, Record, Requests, function_id, outcome_of, run_case
+from standins import (
+    Client,
+    Executor,
+    FrontEnd,
+    NameServer,
+    Record,
+    Requests,
+    function_id,
+    outcome_of,
+    run_case,
+)
 
 EXECUTORS, SOCKETS = 52, 256
 CUT_FROM_S, CUT_S, END_S, DEADLINE_S = 8.0, 1.5, 14.0, 6.0
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -149,7 +149,7 @@
 
 
 class KeyGroup:
-    """What a group of executors remembers of keyed requests: each key for `window_s` from its first arrival."""
+    """What a group of executors remembers of keyed requests: a key for `window_s` from its first arrival."""
 
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
@@ -181,6 +181,7 @@
         self.calls: list[tuple[float, str, str]] = []  # when a call arrived whole, its id and class
         self.orders: list[tuple[float, str, int]] = []  # load orders as they arrive
         self.runs: list[str] = []  # ids of the calls that began to run
+        self.run_times: list[tuple[float, str]] = []  # when each of them began
         self.ended: dict[str, float] = {}
         self.group: KeyGroup | None = None  # drops repeats of keyed requests
         self.is_draining = False
@@ -246,9 +247,7 @@
     def _report(self) -> str:
         return "use=util:0.30;x0:0.20"
 
-    async def _run(
-        self, command: list[bytes], fields: dict[str, str], writer: asyncio.StreamWriter
-    ) -> None:
+    async def _run(self, command: list[bytes], fields: dict[str, str], writer: asyncio.StreamWriter) -> None:
         rid, path = command[1].decode(), fields["path"]
         if self.is_draining and self.rejects_while_draining:
             writer.write(encode_array(command[1], b"BUSY", self._report().encode(), b""))
@@ -264,6 +263,7 @@
             writer.write(encode_array(command[1], b"OK", answer, await asyncio.shield(first)))
             return
         self.runs.append(rid)
+        self.run_times.append((time.time(), rid))
         self.record("executor-run", executor=self.name, rid=rid)
         await asyncio.sleep(self.work_s)
         self.ended[rid] = time.time()
@@ -399,10 +399,22 @@
         self.open.clear()
 
     def call(
-        self, function: str, rid: str, budget_ms: int = 2500, kind: str = "valuation", body: bytes = b"x", lanes: int = 2, token: str = ""
+        self,
+        function: str,
+        rid: str,
+        budget_ms: int = 2500,
+        kind: str = "valuation",
+        body: bytes = b"x",
+        lanes: int = 2,
+        token: str = "",
     ) -> tuple[int, asyncio.Future[tuple[float, Any, Any]]]:
         self._last_id += 1
-        fields = {"rid": rid, "budget": str(budget_ms), "obj": function, "attrs": f"memory_mb:300;lanes:{lanes}"}
+        fields = {
+            "rid": rid,
+            "budget": str(budget_ms),
+            "obj": function,
+            "attrs": f"memory_mb:300;lanes:{lanes}",
+        }
         if token:
             fields["token"] = token
         future: asyncio.Future[tuple[float, Any, Any]] = asyncio.get_running_loop().create_future()
