--- a/packages/node/src/walnutpost/node/connection_selection.py
+++ b/packages/node/src/walnutpost/node/connection_selection.py
@@ -20,7 +20,7 @@
     usable = [
         connection
         for connection in connections
-        if not connection.is_draining
+        if connection.accepts_commands
         and len(connection.open) < max_streams
         and not connection.has_used_id(id)
     ]
--- a/packages/node/src/walnutpost/node/exchange.py
+++ b/packages/node/src/walnutpost/node/exchange.py
@@ -22,6 +22,7 @@
     LOAD_ORDER = "load_order"
     COPY_QUERY = "copy_query"  # a load order for 0 copies, which asks how many are loaded
     PROBE = "probe"
+    DELIVERY_CHECK = "delivery_check"  # its response shows that the worker received what was sent before it
 
 
 IDEMPOTENT_KINDS = frozenset((CommandKind.COPY_QUERY, CommandKind.PROBE))
@@ -61,6 +62,7 @@
         "deadline_us",
         "decided_us",
         "encode",
+        "encode_delivery_check",
         "has_ended",
         "id",
         "is_abandoned",
@@ -70,6 +72,7 @@
         "queued_us",
         "send_by_us",
         "sent_us",
+        "sequence_number",
         "timer",
     )
 
@@ -83,12 +86,14 @@
         on_end: Callable[[Exchange, Outcome, resp.Response | None], None],
         send_within_us: int = 0,
         is_awaited: Callable[[], bool] | None = None,
+        encode_delivery_check: Callable[[bytes], bytes] | None = None,
     ):
         """Create an exchange that waits to be sent.
 
         `encode` returns the bytes of the command for the time at which it is sent. `timeout_us` and
         `send_within_us` (0 means no such limit) count from `decided_us`. `is_awaited` returns whether a
-        caller still waits for the outcome (None means always).
+        caller still waits for the outcome (None means always). `encode_delivery_check` returns a query with
+        the given id that may be sent after this command if it is abandoned (None means that none may).
         """
         self.kind = kind
         self.id = id
@@ -98,6 +103,7 @@
         self.send_by_us = decided_us + send_within_us if send_within_us else self.deadline_us
         self._on_end = on_end
         self._is_awaited = is_awaited
+        self.encode_delivery_check = encode_delivery_check
         self.has_ended = False
         self.is_abandoned = False  # cancelled; the outcome will be reported shortly
         self.connection: ExchangeConnection | None = None
@@ -105,6 +111,7 @@
         self.progress = SendProgress.WAITING
         self.queued_us = decided_us  # when it was queued on its current connection
         self.sent_us = 0  # when the kernel accepted its last byte
+        self.sequence_number = 0  # among the exchanges sent completely on its connection, from 1
         self.move_count = 0  # number of moves to other connections
 
     @property
@@ -112,7 +119,10 @@
         """Whether the exchange may move to another connection after its current one is reset.
 
         This is safe if the worker can't have received the complete command, or if the command is idempotent.
+        A delivery check is about its own connection only.
         """
+        if self.kind is CommandKind.DELIVERY_CHECK:
+            return False
         return self.progress is not SendProgress.SENT or self.kind in IDEMPOTENT_KINDS
 
     @property
@@ -120,6 +130,10 @@
         """Whether the exchange has ended or was abandoned, so that no further byte of it may be sent."""
         return self.has_ended or self.is_abandoned
 
+    def was_sent_before(self, other: Exchange) -> bool:
+        """Return whether this exchange was sent completely before the other one on the same connection."""
+        return self.progress is SendProgress.SENT and self.sequence_number < other.sequence_number
+
     def may_send(self, now_us: int) -> bool:
         """Return whether the first byte may still be sent.
 
@@ -137,3 +151,12 @@
         if self.timer is not None:
             self.timer.cancel()
         self._on_end(self, outcome, response)
+
+
+def constant_encoder(command: bytes) -> Callable[[int], bytes]:
+    """Return an `encode` function for a command that doesn't depend on the time."""
+
+    def encode(now_us: int) -> bytes:
+        return command
+
+    return encode
--- a/packages/node/src/walnutpost/node/node.py
+++ b/packages/node/src/walnutpost/node/node.py
@@ -120,4 +120,6 @@
         int(config.max_descriptors * WORKER_DESCRIPTOR_RATIO),
         config.report_fields,
         config.settings.limits.may_cancel,
+        config.settings.may_order_loads,
+        config.settings.limits.may_probe,
     )
--- a/packages/node/src/walnutpost/node/outbox.py
+++ b/packages/node/src/walnutpost/node/outbox.py
@@ -21,6 +21,7 @@
         self._unsent = b""  # the rest of the partially sent command
         self._partial: Exchange | None = None  # the exchange of that command
         self._offered: list[tuple[Exchange | None, bytes]] = []
+        self._sent_count = 0  # exchanges that were sent completely
 
     def __len__(self) -> int:
         """Return the number of commands of which no byte has been sent."""
@@ -91,7 +92,26 @@
             self._unsent = data[count:]
             self._partial = exchange if self._unsent else None
             if exchange is not None:
-                exchange.progress = SendProgress.PARTIAL if self._unsent else SendProgress.SENT
-                exchange.sent_us = now_us
+                self._update_progress(exchange, now_us)
             count -= len(data)
         self._offered = []
+
+    def take_one_way_commands(self) -> bytes:
+        """Remove the encoded commands that wait to be sent, and return them.
+
+        Returns nothing while a command is partially sent, because its rest would have to come first.
+        """
+        if self._unsent:
+            return b""
+        commands = [command for command in self._waiting if isinstance(command, bytes)]
+        self._waiting = deque(command for command in self._waiting if isinstance(command, Exchange))
+        return b"".join(commands)
+
+    def _update_progress(self, exchange: Exchange, now_us: int) -> None:
+        exchange.sent_us = now_us
+        if self._unsent:
+            exchange.progress = SendProgress.PARTIAL
+            return
+        exchange.progress = SendProgress.SENT
+        self._sent_count += 1
+        exchange.sequence_number = self._sent_count
--- a/packages/node/src/walnutpost/node/stats.py
+++ b/packages/node/src/walnutpost/node/stats.py
@@ -54,6 +54,8 @@
             load_orders=self._workers.load_orders,
             copy_queries=self._workers.copy_queries,
             discovery_queries=self._discovery.queries,
+            delivery_checks=self._pool.delivery_checks,
+            undelivered_resets=self._pool.undelivered_resets,
             malformed_responses=self._pool.malformed_responses,
             invalid_requests=self._clients.invalid_requests,
             malformed_connections=self._clients.malformed_connections,
--- a/packages/node/src/walnutpost/node/worker_commands.py
+++ b/packages/node/src/walnutpost/node/worker_commands.py
@@ -13,7 +13,7 @@
 from walnutpost.gateway import AttemptEnded, LoadOrder, LoadOrderEnded, Probe, ProbeEnded, Send, Unload
 from walnutpost.interface import Outcome
 from walnutpost.node import resp
-from walnutpost.node.exchange import CommandKind, Exchange, SendProgress
+from walnutpost.node.exchange import CommandKind, Exchange, SendProgress, constant_encoder
 from walnutpost.node.open_requests import RequestIdentity
 from walnutpost.node.worker_pool import WorkerPool
 
@@ -59,6 +59,7 @@
             partial(self._end_attempt, effect, done),
             effect.begin_within_us,
             partial(self._is_awaited, effect.caller_id),
+            self._delivery_check_encoder(effect.function),
         )
         self._attempts[effect.call, effect.attempt] = exchange
         if identity is None:  # the client left while the policy decided
@@ -87,7 +88,7 @@
         exchange = Exchange(
             CommandKind.COPY_QUERY if is_query else CommandKind.LOAD_ORDER,
             id,
-            _constant_encoder(resp.encode_spawn(id, effect.function, effect.copies)),
+            constant_encoder(resp.encode_spawn(id, effect.function, effect.copies)),
             self._loop.now(),
             self._pool.limits.order_timeout_us,
             partial(self._end_order, effect, done),
@@ -101,7 +102,7 @@
         exchange = Exchange(
             CommandKind.PROBE,
             id,
-            _constant_encoder(resp.encode_probe(id)),
+            constant_encoder(resp.encode_probe(id)),
             self._loop.now(),
             PROBE_TIMEOUT_US,
             partial(self._end_probe, effect, done),
@@ -187,6 +188,13 @@
     def _is_awaited(self, caller_id: int) -> bool:
         return self._identity_for_attempt(caller_id) is not None
 
+    def _delivery_check_encoder(self, function: str) -> Callable[[bytes], bytes] | None:
+        """Return how to encode a query that a live worker answers at once; None if none is allowed."""
+        limits = self._pool.limits
+        if limits.may_query_copies:
+            return partial(resp.encode_spawn, function=function, copies=0)
+        return resp.encode_probe if limits.may_probe else None
+
     def _next_id(self) -> bytes:
         self._last_id += 1
         return b"t%d" % self._last_id
@@ -199,12 +207,3 @@
     return resp.encode_call(
         request_id, request_class, effect.function, budget_us, effect.payload, idempotency_key
     )
-
-
-def _constant_encoder(command: bytes) -> Callable[[int], bytes]:
-    """Return an `encode` function for a command that doesn't depend on the time."""
-
-    def encode(now_us: int) -> bytes:
-        return command
-
-    return encode
--- a/packages/node/src/walnutpost/node/worker_connection.py
+++ b/packages/node/src/walnutpost/node/worker_connection.py
@@ -1,7 +1,9 @@
 """One connection to a worker: sends commands, receives responses, and ends open commands when it fails.
 
 A command that the kernel has accepted may still reach the worker until the connection is reset; an orderly
-close would deliver it. A connection with an abandoned command is therefore closed by a reset.
+close would deliver it. A connection with an abandoned command is therefore closed by a reset. For a call,
+this must happen soon, because it must not begin after its client has left or after another worker has run it:
+if other exchanges are open, the worker gets a short time to show that it has received the call already.
 """
 
 from __future__ import annotations
@@ -9,6 +11,7 @@
 import errno
 import socket
 import struct
+from contextlib import suppress
 from functools import partial
 from typing import Protocol
 
@@ -16,6 +19,7 @@
 from walnutpost.eventloop.connecting import start_connect
 from walnutpost.interface import Outcome
 from walnutpost.node import resp
+from walnutpost.node.abandoned_calls import AbandonedCalls
 from walnutpost.node.directory import Address
 from walnutpost.node.exchange import CommandKind, Exchange, SendProgress
 from walnutpost.node.outbox import Outbox
@@ -35,6 +39,11 @@
     def loop(self) -> Loop:
         """The event loop."""
 
+    delivery_checks: int
+    """Delivery checks since the start."""
+    undelivered_resets: int
+    """Connections reset since the start because the delivery of an abandoned call was not proven."""
+
     @property
     def limits(self) -> WorkerLimits:
         """The limits on connections to workers."""
@@ -58,7 +67,7 @@
         self._owner = owner
         self._loop = owner.loop
         self.open: dict[bytes, Exchange] = {}
-        self._recent_ids: dict[bytes, None] = {}
+        self._recent_ids: dict[bytes, int] = {}  # sequence numbers of ended exchanges
         self.is_connected = False
         self._was_accepted = False  # the worker accepted the connection, even if it reset it afterwards
         self.is_draining = False  # accepts no new commands
@@ -71,6 +80,8 @@
         self._is_flush_due = False  # at the end of the round, after a poll, or when the socket is writable
         self._is_write_closed = False  # an abandoned command was partially sent: no byte may follow it
         self._must_reset = False
+        self._abandoned_calls = AbandonedCalls(self._loop, self._on_delivery_timeout)
+        self._is_silent = False  # nothing has arrived since a call was sent that was then abandoned
         self._sock, code = start_connect(address)
         # If this process ends without calling `close`, the kernel must drop unsent bytes, not deliver them.
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
@@ -95,6 +106,11 @@
         self.stream.on_readable(self._on_readable)
         self._flush()
 
+    @property
+    def accepts_commands(self) -> bool:
+        """Whether the connection may carry further commands."""
+        return not self.is_draining and not self._is_silent
+
     def has_used_id(self, id: bytes) -> bool:
         """Return whether a response with this id could belong to an earlier command on this connection."""
         return id in self._recent_ids or id in self.open
@@ -231,8 +247,11 @@
         with another client, or if its command hasn't been sent completely.
         """
         exchange = self.open.get(response.id)
-        if exchange is not None and exchange.progress is SendProgress.SENT:
+        if exchange is None:
+            self._record_delivery(self._recent_ids.get(response.id, 0))
+        elif exchange.progress is SendProgress.SENT:
             self._detach(exchange)
+            self._record_delivery(exchange.sequence_number)
             self._on_detached()
             exchange.finish(response.outcome, response)
 
@@ -255,7 +274,8 @@
         """Detach an exchange that nobody waits for any more.
 
         If any of its bytes have been sent, the connection will end by a reset, which drops those that the
-        kernel still holds. The reset waits until no other exchange is open that could lose its response.
+        kernel still holds. The reset waits until no other exchange is open that could lose its response, but
+        not if a call may still arrive.
         """
         if exchange.progress is SendProgress.WAITING:
             if self._remove_unsent(exchange):
@@ -267,28 +287,98 @@
         self._must_reset = True
         if exchange.progress is SendProgress.PARTIAL:
             self._is_write_closed = True
-        if not self._is_reusable_after(exchange):
-            self.is_draining = True
-            self._move_unsent()
-        elif exchange.kind is CommandKind.CALL and self._owner.limits.may_cancel:
-            self.send_one_way(resp.encode_kill(exchange.id))
+            self._stop_use()
+        elif exchange.kind is CommandKind.CALL:
+            self._abandon_sent_call(exchange)
+        elif not self._is_reusable_after(exchange):
+            self._stop_use()
         self._on_detached()
 
+    def _abandon_sent_call(self, call: Exchange) -> None:
+        """Cancel the call at the worker, and reset the connection unless the call is known to have arrived.
+
+        The cancellation is sent even if a reset follows, because a stopped worker may still read what its
+        kernel received before the reset. The rest of a partial response would be mistaken for the next
+        response.
+        """
+        if self.has_partial_response:
+            self._stop_use()
+        is_delivered = self._abandoned_calls.is_delivered(call)
+        if not is_delivered and self._last_received_us < call.sent_us:
+            self._is_silent = True
+            self._move_unsent()
+        self._cancel_at_worker(call)
+        if is_delivered:
+            return
+        if self._is_silent and not self.open:
+            self.is_draining = True
+            return
+        self._abandoned_calls.add(call)
+        self._check_delivery(call)
+
+    def _check_delivery(self, call: Exchange) -> None:
+        """Send a query after the call, unless the response to another one will prove the same."""
+        check = self._abandoned_calls.create_check(call)
+        has_pending_check = any(
+            exchange.kind is CommandKind.DELIVERY_CHECK and not exchange.was_sent_before(call)
+            for exchange in self.open.values()
+        )
+        if check is not None and not has_pending_check:
+            self._owner.delivery_checks += 1
+            self.send(check)
+
+    def _record_delivery(self, sequence_number: int) -> None:
+        """Record that the worker has received this exchange, and so all that were sent before it."""
+        self._abandoned_calls.record_delivery(sequence_number)
+        if self._abandoned_calls:
+            return
+        self._is_silent = False
+        checks = [each for each in self.open.values() if each.kind is CommandKind.DELIVERY_CHECK]
+        for check in checks:
+            if not self._remove_unsent(check):
+                self._detach(check)
+        if checks:
+            self._on_detached()
+
+    def _on_delivery_timeout(self) -> None:
+        """Reset the connection, because an abandoned call may still be on its way and must not arrive.
+
+        Exchanges that can't move may have run, and end with RESET. Calls among them are cancelled, like the
+        abandoned ones, in case the worker reads them later.
+        """
+        while self._abandoned_calls.is_overdue() and self._read():
+            pass
+        if not self._abandoned_calls.is_overdue():
+            return
+        self._owner.undelivered_resets += 1
+        for exchange in self.open.values():
+            if exchange.kind is CommandKind.CALL and exchange.progress is SendProgress.SENT:
+                self._cancel_at_worker(exchange)
+        self.fail()
+
+    def _cancel_at_worker(self, call: Exchange) -> None:
+        if self._owner.limits.may_cancel:
+            self.send_one_way(resp.encode_kill(call.id))
+
     def _is_reusable_after(self, exchange: Exchange) -> bool:
-        """Return whether the connection may carry other commands after an abandoned exchange.
+        """Return whether the connection may carry other commands after an abandoned order, query or probe.
 
         A connection on which nothing has arrived since the exchange was sent may be dead, and the rest of a
         partial response would be mistaken for the next response. An abandoned load order must not arrive
         later, so its connection is not reused.
         """
-        was_sent = exchange.progress is SendProgress.SENT
-        is_alive = was_sent and self._last_received_us >= exchange.sent_us
+        is_alive = self._last_received_us >= exchange.sent_us
         return is_alive and exchange.kind is not CommandKind.LOAD_ORDER and not self.has_partial_response
 
+    def _stop_use(self) -> None:
+        """Accept no further commands, and move the unsent ones."""
+        self.is_draining = True
+        self._move_unsent()
+
     def _move_unsent(self) -> None:
         """Move the unsent exchanges to other connections."""
         for exchange in self._outbox.unsent_exchanges():
-            if exchange.move_count >= MAX_MOVES:
+            if exchange.move_count >= MAX_MOVES or not exchange.can_move:
                 self._end_unsent(exchange)
             elif self._remove_unsent(exchange):
                 exchange.move_count += 1
@@ -300,7 +390,7 @@
         """Remove the exchange, and remember its id, because a response may still arrive."""
         exchange.connection = None
         self.open.pop(exchange.id, None)
-        self._recent_ids[exchange.id] = None
+        self._recent_ids[exchange.id] = exchange.sequence_number
         if len(self._recent_ids) > MAX_RECENT_IDS:
             del self._recent_ids[next(iter(self._recent_ids))]
 
@@ -355,9 +445,18 @@
             return
         self.is_closed = True
         self._connect_timer.cancel()
+        self._abandoned_calls.close()
         if self._must_reset or self._outbox.has_partial:
+            self._send_one_way_commands()
             self.stream.reset()
         else:
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_OFF)
             self.stream.close()
         self._owner.forget(self)
+
+    def _send_one_way_commands(self) -> None:
+        """Pass the waiting commands that get no response, such as cancellations, to the kernel."""
+        commands = self._outbox.take_one_way_commands()
+        if commands and self.is_connected and not self._is_write_closed:
+            with suppress(OSError):
+                self.stream.send_nowait(commands)
--- a/packages/node/src/walnutpost/node/worker_limits.py
+++ b/packages/node/src/walnutpost/node/worker_limits.py
@@ -19,3 +19,5 @@
     max_connections: int
     report_fields: tuple[str, ...]
     may_cancel: bool  # whether the node may ask a worker to cancel a call
+    may_query_copies: bool  # whether the node may ask a worker how many copies it has loaded
+    may_probe: bool  # whether the node may send probes
--- a/packages/node/src/walnutpost/node/worker_pool.py
+++ b/packages/node/src/walnutpost/node/worker_pool.py
@@ -29,6 +29,8 @@
         self.connection_count = 0
         self.connections_opened = 0
         self.malformed_responses = 0
+        self.delivery_checks = 0
+        self.undelivered_resets = 0
         self._addresses: dict[str, Address] = {}
         self._connections: dict[str, list[WorkerConnection]] = {}
         interval_us = min(MAX_SWEEP_INTERVAL_US, int(limits.idle_timeout_us * SWEEP_INTERVAL_RATIO))
