Node: without cancelling, calls of ended requests no longer begin late

Cause: the policy cancels nothing there, so the attempt of an ended request stayed on its connection until its deadline; Exchange.may_send stops first bytes alone, and a call sent in part was completed (WorkerCommands.send, OpenRequests.remove). Evidence: test_network_cuts.py, random cuts behind relays that drop what was reset. Change: when a request ends, its attempts must be known to have arrived within 80 ms, or their connections are reset; those sent in part are given up. AbandonedCalls is DeliveryTracker, as it tracks these too. WorkerCommands gets OpenRequests itself in place of a callback through Clients. Why it works: the same proof as for cancelled calls; what has arrived goes on, no KILL is sent.

--- a/packages/node/src/walnutpost/node/clients.py
+++ b/packages/node/src/walnutpost/node/clients.py
@@ -9,7 +9,7 @@
 from walnutpost.dispatch import Dispatcher
 from walnutpost.eventloop import AcceptErrorLog, Listener, Logger, Loop, Stream
 from walnutpost.node.client_connection import ClientConnection
-from walnutpost.node.open_requests import OpenRequests, RequestIdentity
+from walnutpost.node.open_requests import OpenRequests
 
 SWEEP_INTERVAL_US = 250_000
 NEW_CONNECTION_GRACE_US = 300_000  # during which a new connection may be about to send its first message
@@ -22,6 +22,7 @@
         self,
         loop: Loop,
         dispatcher: Dispatcher,
+        requests: OpenRequests,
         settings: api.Settings,
         classes: tuple[str, ...],
         tenants: tuple[str, ...],
@@ -37,7 +38,7 @@
             name: each.deadline_us for name, each in zip(classes, settings.classes, strict=True)
         }
         self.tenants = tenants
-        self.requests = OpenRequests()
+        self.requests = requests
         self.connections: dict[ClientConnection, None] = {}
         self._max_connections = max_connections
         self.is_shutting_down = False
@@ -50,10 +51,6 @@
         self._backlog_since_us: int | None = loop.now()
         self.periodic_sweep = loop.call_every(SWEEP_INTERVAL_US, self._sweep, "sweep of clients")
 
-    def identity_for_attempt(self, caller_id: int) -> RequestIdentity | None:
-        """Return what to send to a worker about a request; None if no further attempt may start."""
-        return self.requests.identity_for_attempt(caller_id)
-
     def accept(self, listener: Listener) -> None:
         """Accept connections until the listener is closed; must run in a task."""
         log_accept_error = AcceptErrorLog(self.loop, self.log)
--- a/packages/node/src/walnutpost/node/abandoned_calls.py
+++ b/packages/node/src/walnutpost/node/delivery_tracker.py
@@ -1,9 +1,9 @@
-"""Tracks the abandoned calls of one connection that its worker may not have received yet.
+"""Tracks the calls of one connection that have reached the worker by now, or must never reach it.
 
-A call that the kernel has accepted may still be on its way when it is abandoned, for example while the
-network is interrupted, and would begin when it arrives. The connection must therefore be reset soon, unless
-the worker is known to have received the call. The proof is a response to the call itself, or to an exchange
-that was sent after it on the same connection, because the worker reads commands in order.
+A call that the kernel has accepted may still be on its way when nobody waits for it any more, for example
+while the network is interrupted, and would begin when it arrives. The connection must therefore be reset
+soon, unless the worker is known to have received the call. The proof is a response to the call itself, or to
+an exchange that was sent after it on the same connection, because the worker reads commands in order.
 """
 
 from __future__ import annotations
@@ -20,11 +20,11 @@
 DELIVERY_TIMEOUT_US = 80_000
 
 
-class AbandonedCalls:
-    """The abandoned calls of one connection, by sequence number, until their delivery is proven."""
+class DeliveryTracker:
+    """The calls of one connection whose delivery must be proven, by sequence number."""
 
     def __init__(self, loop: Loop, on_timeout: Callable[[], None]) -> None:
-        """`on_timeout` is called when a call has been abandoned for `DELIVERY_TIMEOUT_US` without proof."""
+        """`on_timeout` is called when the time for the delivery of a call is over without proof."""
         self._loop = loop
         self._on_timeout = on_timeout
         self._delivered_sequence_number = 0  # highest known; all exchanges up to it were delivered
@@ -33,7 +33,7 @@
         self._last_check_number = 0
 
     def __bool__(self) -> bool:
-        """Return whether an abandoned call may still be on its way."""
+        """Return whether a tracked call may still be on its way."""
         return bool(self._due_us)
 
     def is_delivered(self, exchange: Exchange) -> bool:
@@ -41,10 +41,14 @@
         return exchange.sequence_number <= self._delivered_sequence_number
 
     def add(self, exchange: Exchange) -> None:
-        """Add a call that was sent completely; its delivery must be proven from now on."""
-        self._due_us[exchange.sequence_number] = self._loop.now() + DELIVERY_TIMEOUT_US
-        if self._timer is None:
-            self._schedule()
+        """Track a call that was sent completely; if it is tracked already, the earlier limit applies.
+
+        Its delivery must be proven within `DELIVERY_TIMEOUT_US`.
+        """
+        number = exchange.sequence_number
+        due_us = self._loop.now() + DELIVERY_TIMEOUT_US
+        self._due_us[number] = min(due_us, self._due_us.get(number, due_us))
+        self._schedule()
 
     def create_check(self, call: Exchange) -> Exchange | None:
         """Return a query that the worker answers once it has received the call; None if none is allowed."""
@@ -65,7 +69,7 @@
             del self._due_us[delivered]
 
     def is_overdue(self) -> bool:
-        """Return whether a call has been abandoned for `DELIVERY_TIMEOUT_US` without proof."""
+        """Return whether the time for the delivery of a call is over without proof."""
         return bool(self._due_us) and min(self._due_us.values()) <= self._loop.now()
 
     def close(self) -> None:
@@ -75,6 +79,8 @@
             self._timer.cancel()
 
     def _schedule(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
         self._timer = self._loop.call_at(min(self._due_us.values()), self._check)
 
     def _check(self) -> None:
--- a/packages/node/src/walnutpost/node/exchange.py
+++ b/packages/node/src/walnutpost/node/exchange.py
@@ -45,6 +45,9 @@
     def abandon(self, exchange: Exchange) -> None:
         """Detach the exchange, and send no further byte of it."""
 
+    def require_delivery(self, call: Exchange) -> None:
+        """Make sure that the worker has received the call, which was sent completely, or never will."""
+
 
 class Exchange:
     """One command and its one outcome; anything that arrives after the outcome is ignored.
--- a/packages/node/src/walnutpost/node/node.py
+++ b/packages/node/src/walnutpost/node/node.py
@@ -10,6 +10,7 @@
 from walnutpost.node.config import Config
 from walnutpost.node.directory import Directory
 from walnutpost.node.discovery import DiscoveryClient
+from walnutpost.node.open_requests import OpenRequests
 from walnutpost.node.stats import STATS_INTERVAL_US, StatsReporter
 from walnutpost.node.worker_commands import WorkerCommands
 from walnutpost.node.worker_limits import WorkerLimits
@@ -42,13 +43,13 @@
             DRAIN_PERIOD_US + min(max_deadline_us, MAX_SIGKILL_DELAY_US) - SIGKILL_MARGIN_US
         )
         self.pool = WorkerPool(loop, _worker_limits(config))
-        self.workers = WorkerCommands(
-            loop, self.pool, lambda caller_id: self.clients.identity_for_attempt(caller_id)
-        )
+        requests = OpenRequests()
+        self.workers = WorkerCommands(loop, self.pool, requests)
         self.dispatcher = Dispatcher(loop, gateway, self.workers, log)
         self.clients = Clients(
             loop,
             self.dispatcher,
+            requests,
             config.settings,
             config.classes,
             config.tenants,
--- a/packages/node/src/walnutpost/node/open_requests.py
+++ b/packages/node/src/walnutpost/node/open_requests.py
@@ -28,6 +28,7 @@
         self.request_ids: set[bytes] = set()
         self._read_ahead_callbacks: dict[int, Callable[[], None]] = {}  # by caller id
         self._attempted: set[int] = set()
+        self._end_callbacks: dict[int, list[Callable[[], None]]] = {}  # by caller id
 
     def add(self, caller_id: int, identity: RequestIdentity, read_ahead: Callable[[], None]) -> None:
         """Add a request.
@@ -53,6 +54,10 @@
             self._attempted.add(caller_id)
         return identity
 
+    def call_at_end(self, caller_id: int, callback: Callable[[], None]) -> None:
+        """Call `callback` when the request ends at this node: it was answered, or nobody waits any more."""
+        self._end_callbacks.setdefault(caller_id, []).append(callback)
+
     def was_attempted(self, caller_id: int) -> bool:
         """Return whether an attempt was started for the request, so that it may have run."""
         return caller_id in self._attempted
@@ -68,3 +73,5 @@
         """Remove a request that has ended at this node."""
         self.prevent_attempts(caller_id)
         self._attempted.discard(caller_id)
+        for callback in self._end_callbacks.pop(caller_id, ()):
+            callback()
--- a/packages/node/src/walnutpost/node/worker_commands.py
+++ b/packages/node/src/walnutpost/node/worker_commands.py
@@ -14,7 +14,7 @@
 from walnutpost.interface import Outcome
 from walnutpost.node import resp
 from walnutpost.node.exchange import CommandKind, Exchange, SendProgress, constant_encoder
-from walnutpost.node.open_requests import RequestIdentity
+from walnutpost.node.open_requests import OpenRequests, RequestIdentity
 from walnutpost.node.worker_pool import WorkerPool
 
 PROBE_TIMEOUT_US = 1_000_000
@@ -23,16 +23,11 @@
 class WorkerCommands:
     """Sends commands to workers, and reports the single outcome of each."""
 
-    def __init__(
-        self, loop: Loop, pool: WorkerPool, identity_for_attempt: Callable[[int], RequestIdentity | None]
-    ) -> None:
-        """`identity_for_attempt` maps a caller id to what a worker needs to know about the request.
-
-        It returns None if nobody waits for the answer any more.
-        """
+    def __init__(self, loop: Loop, pool: WorkerPool, requests: OpenRequests) -> None:
+        """Send commands over `pool`, on behalf of the open `requests`."""
         self._loop = loop
         self._pool = pool
-        self._identity_for_attempt = identity_for_attempt
+        self._requests = requests
         self._last_id = 0
         self._attempts: dict[tuple[int, int], Exchange] = {}  # by (call, attempt)
         self.load_orders = 0
@@ -48,7 +43,7 @@
     ) -> None:
         """Send an attempt of a call; its timeout starts now."""
         now_us = self._loop.now()
-        identity = self._identity_for_attempt(effect.caller_id)
+        identity = self._requests.identity_for_attempt(effect.caller_id)
         deadline_us = now_us + effect.timeout_us
         exchange = Exchange(
             CommandKind.CALL,
@@ -66,6 +61,10 @@
             self._loop.call_soon(partial(exchange.finish, Outcome.EXPIRED))
             return
         self._start(effect.worker, exchange)
+        if not self._pool.limits.may_cancel:
+            self._requests.call_at_end(
+                effect.caller_id, partial(self._loop.call_soon, partial(self._withdraw, exchange))
+            )
 
     def cancel(self, call: int, attempt: int) -> None:
         """Cancel the attempt, even if it has been sent."""
@@ -77,6 +76,19 @@
             exchange.connection.abandon(exchange)
         self._loop.call_soon(partial(exchange.finish, Outcome.CANCELLED))
 
+    def _withdraw(self, exchange: Exchange) -> None:
+        """Make sure that an attempt never begins if its worker hasn't received it; otherwise let it go on.
+
+        No first byte is sent any more if nobody waits for the attempt or its time to be sent is over.
+        """
+        if exchange.is_over or exchange.connection is None:
+            return
+        if exchange.progress is SendProgress.PARTIAL:
+            exchange.connection.abandon(exchange)
+            exchange.finish(Outcome.EXPIRED)
+        elif exchange.progress is SendProgress.SENT:
+            exchange.connection.require_delivery(exchange)
+
     def order_load(self, effect: LoadOrder, done: Callable[[LoadOrderEnded], None]) -> None:
         """Send a load order or a copy query; `interface.HoldEnded` describes its outcome."""
         is_query = not effect.copies
@@ -186,7 +198,7 @@
         exchange.finish(Outcome.TIMEOUT if was_sent else Outcome.EXPIRED)
 
     def _is_awaited(self, caller_id: int) -> bool:
-        return self._identity_for_attempt(caller_id) is not None
+        return self._requests.identity_for_attempt(caller_id) is not None
 
     def _delivery_check_encoder(self, function: str) -> Callable[[bytes], bytes] | None:
         """Return how to encode a query that a live worker answers at once; None if none is allowed."""
--- a/packages/node/src/walnutpost/node/worker_connection.py
+++ b/packages/node/src/walnutpost/node/worker_connection.py
@@ -19,7 +19,7 @@
 from walnutpost.eventloop.connecting import start_connect
 from walnutpost.interface import Outcome
 from walnutpost.node import resp
-from walnutpost.node.abandoned_calls import AbandonedCalls
+from walnutpost.node.delivery_tracker import DeliveryTracker
 from walnutpost.node.directory import Address
 from walnutpost.node.exchange import CommandKind, Exchange, SendProgress
 from walnutpost.node.outbox import Outbox
@@ -42,7 +42,7 @@
     delivery_checks: int
     """Delivery checks since the start."""
     undelivered_resets: int
-    """Connections reset since the start because the delivery of an abandoned call was not proven."""
+    """Connections reset since the start because the delivery of a call was not proven."""
 
     @property
     def limits(self) -> WorkerLimits:
@@ -80,8 +80,8 @@
         self._is_flush_due = False  # at the end of the round, after a poll, or when the socket is writable
         self._is_write_closed = False  # an abandoned command was partially sent: no byte may follow it
         self._must_reset = False
-        self._abandoned_calls = AbandonedCalls(self._loop, self._on_delivery_timeout)
-        self._is_silent = False  # nothing has arrived since a call was sent that was then abandoned
+        self._deliveries = DeliveryTracker(self._loop, self._on_delivery_timeout)
+        self._is_silent = False  # nothing has arrived since a call whose delivery must be proven was sent
         self._sock, code = start_connect(address)
         # If this process ends without calling `close`, the kernel must drop unsent bytes, not deliver them.
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
@@ -303,22 +303,38 @@
         """
         if self.has_partial_response:
             self._stop_use()
-        is_delivered = self._abandoned_calls.is_delivered(call)
-        if not is_delivered and self._last_received_us < call.sent_us:
-            self._is_silent = True
-            self._move_unsent()
+        is_delivered = self._deliveries.is_delivered(call)
+        if not is_delivered:
+            self._suspend_if_silent(call)
         self._cancel_at_worker(call)
         if is_delivered:
             return
         if self._is_silent and not self.open:
             self.is_draining = True
-            return
-        self._abandoned_calls.add(call)
-        self._check_delivery(call)
+        else:
+            self._track_delivery(call)
+
+    def require_delivery(self, call: Exchange) -> None:
+        """Reset the connection soon, unless the worker is known to have received the call.
 
-    def _check_delivery(self, call: Exchange) -> None:
+        The call stays open: it may be executing, and may not be cancelled.
+        """
+        is_open = self.open.get(call.id) is call
+        if is_open and call.progress is SendProgress.SENT and not self._deliveries.is_delivered(call):
+            self._suspend_if_silent(call)
+            self._track_delivery(call)
+
+    def _suspend_if_silent(self, call: Exchange) -> None:
+        """Put nothing new on the connection for now if nothing has arrived since the call was sent."""
+        if self._last_received_us < call.sent_us:
+            self._is_silent = True
+            self._move_unsent()
+
+    def _track_delivery(self, call: Exchange) -> None:
         """Send a query after the call, unless the response to another one will prove the same."""
-        check = self._abandoned_calls.create_check(call)
+        self._must_reset = True
+        self._deliveries.add(call)
+        check = self._deliveries.create_check(call)
         has_pending_check = any(
             exchange.kind is CommandKind.DELIVERY_CHECK and not exchange.was_sent_before(call)
             for exchange in self.open.values()
@@ -329,8 +345,8 @@
 
     def _record_delivery(self, sequence_number: int) -> None:
         """Record that the worker has received this exchange, and so all that were sent before it."""
-        self._abandoned_calls.record_delivery(sequence_number)
-        if self._abandoned_calls:
+        self._deliveries.record_delivery(sequence_number)
+        if self._deliveries:
             return
         self._is_silent = False
         checks = [each for each in self.open.values() if each.kind is CommandKind.DELIVERY_CHECK]
@@ -341,14 +357,14 @@
             self._on_detached()
 
     def _on_delivery_timeout(self) -> None:
-        """Reset the connection, because an abandoned call may still be on its way and must not arrive.
+        """Reset the connection, because a call may still be on its way that must not arrive any more.
 
-        Exchanges that can't move may have run, and end with RESET. Calls among them are cancelled, like the
-        abandoned ones, in case the worker reads them later.
+        Exchanges that can't move may have run, and end with RESET. Calls among them are cancelled, in case
+        the worker reads them later.
         """
-        while self._abandoned_calls.is_overdue() and self._read():
+        while self._deliveries.is_overdue() and self._read():
             pass
-        if not self._abandoned_calls.is_overdue():
+        if not self._deliveries.is_overdue():
             return
         self._owner.undelivered_resets += 1
         for exchange in self.open.values():
@@ -445,7 +461,7 @@
             return
         self.is_closed = True
         self._connect_timer.cancel()
-        self._abandoned_calls.close()
+        self._deliveries.close()
         if self._must_reset or self._outbox.has_partial:
             self._send_one_way_commands()
             self.stream.reset()
