Node: attempts of a keyed call arrive within the key's window, or not at all

Callers would see: where a key is remembered for less time than a call may take, a keyed call with two attempts ran twice, 241 to 440 ms apart (window 220 ms, deadline 1 s), after the network to a worker had been cut and came back. Cause: the window bound the first byte of an attempt alone (Exchange.may_send). What the kernel had accepted arrived later, while the call was open, so that nothing had been cancelled yet. Change: with the second attempt, all attempts of the call get a time by which their workers must have received them; those not known to have arrived by then are taken back by a reset. Why it works: the time is the end of the window counted from the first send, and the first arrival is no earlier.

--- a/packages/node/src/walnutpost/node/delivery_tracker.py
+++ b/packages/node/src/walnutpost/node/delivery_tracker.py
@@ -43,10 +43,12 @@
     def add(self, exchange: Exchange) -> None:
         """Track a call that was sent completely; if it is tracked already, the earlier limit applies.
 
-        Its delivery must be proven within `DELIVERY_TIMEOUT_US`.
+        Its delivery must be proven within `DELIVERY_TIMEOUT_US`, or by `exchange.deliver_by_us` if earlier.
         """
         number = exchange.sequence_number
         due_us = self._loop.now() + DELIVERY_TIMEOUT_US
+        if exchange.deliver_by_us is not None:
+            due_us = min(due_us, exchange.deliver_by_us)
         self._due_us[number] = min(due_us, self._due_us.get(number, due_us))
         self._schedule()
 
--- a/packages/node/src/walnutpost/node/exchange.py
+++ b/packages/node/src/walnutpost/node/exchange.py
@@ -64,6 +64,7 @@
         "connection",
         "deadline_us",
         "decided_us",
+        "deliver_by_us",
         "encode",
         "encode_delivery_check",
         "has_ended",
@@ -104,6 +105,7 @@
         self.decided_us = decided_us
         self.deadline_us = decided_us + timeout_us
         self.send_by_us = decided_us + send_within_us if send_within_us else self.deadline_us
+        self.deliver_by_us: int | None = None  # the worker must not receive it later
         self._on_end = on_end
         self._is_awaited = is_awaited
         self.encode_delivery_check = encode_delivery_check
--- a/packages/node/src/walnutpost/node/worker_commands.py
+++ b/packages/node/src/walnutpost/node/worker_commands.py
@@ -13,6 +13,7 @@
 from walnutpost.gateway import AttemptEnded, LoadOrder, LoadOrderEnded, Probe, ProbeEnded, Send, Unload
 from walnutpost.interface import Outcome
 from walnutpost.node import resp
+from walnutpost.node.delivery_tracker import DELIVERY_TIMEOUT_US
 from walnutpost.node.exchange import CommandKind, Exchange, SendProgress, constant_encoder
 from walnutpost.node.open_requests import OpenRequests, RequestIdentity
 from walnutpost.node.worker_pool import WorkerPool
@@ -65,6 +66,8 @@
             self._requests.call_at_end(
                 effect.caller_id, partial(self._loop.call_soon, partial(self._withdraw, exchange))
             )
+        if identity.idempotency_key and effect.attempt and effect.begin_within_us:
+            self._limit_delivery(effect, now_us + effect.begin_within_us)
 
     def cancel(self, call: int, attempt: int) -> None:
         """Cancel the attempt, even if it has been sent."""
@@ -76,6 +79,19 @@
             exchange.connection.abandon(exchange)
         self._loop.call_soon(partial(exchange.finish, Outcome.CANCELLED))
 
+    def _limit_delivery(self, latest: Send, deliver_by_us: int) -> None:
+        """Limit when the attempts of a keyed call may reach their workers.
+
+        Workers recognize repeats of a key for a limited time, within which the policy has sent the latest
+        attempt. From now on, any of the attempts may be a repeat.
+        """
+        for number in range(latest.attempt + 1):
+            exchange = self._attempts.get((latest.call, number))
+            if exchange is not None:
+                exchange.send_by_us = min(exchange.send_by_us, deliver_by_us)
+                exchange.deliver_by_us = deliver_by_us
+                self._loop.call_at(deliver_by_us - DELIVERY_TIMEOUT_US, partial(self._withdraw, exchange))
+
     def _withdraw(self, exchange: Exchange) -> None:
         """Make sure that an attempt never begins if its worker hasn't received it; otherwise let it go on.
 
--- a/packages/node/tests/test_network_cuts.py
+++ b/packages/node/tests/test_network_cuts.py
@@ -185,11 +185,14 @@
 
 @pytest.mark.parametrize("may_cancel", [True, False])
 @pytest.mark.parametrize("connections_per_worker", [1, 3])
-@pytest.mark.parametrize("seed", [0, 1, 2])
+@pytest.mark.parametrize("seed", [0, 1, 2, 4, 5, 22])
 def test_cut_network_delivers_no_abandoned_call_later(
     seed: int, connections_per_worker: int, may_cancel: bool
 ) -> None:
-    """Guards against review cases 1 and 3: abandoned calls that reach a worker when the network is back."""
+    """Guards against review cases 1 and 3: abandoned calls that reach a worker when the network is back.
+
+    Seeds 4, 5 and 22 also guard against attempts of an open keyed call that arrive after the key's window.
+    """
     group = KeyGroup()
 
     def scenario(harness: NodeHarness) -> None:
