Node: without cancelling, a call is given up by a reset at its timeout, as before

Where the settings don't allow cancelling, the answer to the check counted as a sign of life at the call's timeout a tick later, so the connection was kept where it had been reset before, and the worker went on with a call that nobody waited for. Change: an exchange remembers that its connection was silent, and an abandoned one then ends that connection's use; no check is sent within 20 ms of the timeout, which abandons the call anyway (20 and 80 ms are the 100 that are allowed).

--- a/packages/node/src/walnutpost/node/exchange.py
+++ b/packages/node/src/walnutpost/node/exchange.py
@@ -78,6 +78,7 @@
         "sent_us",
         "sequence_number",
         "timer",
+        "was_connection_silent",
     )
 
     def __init__(
@@ -117,6 +118,7 @@
         self.queued_us = decided_us  # when it was queued on its current connection
         self.sent_us = 0  # when the kernel accepted its last byte
         self.sequence_number = 0  # among the exchanges sent completely on its connection, from 1
+        self.was_connection_silent = False  # nothing had arrived since it was sent, when this last mattered
         self.move_count = 0  # number of moves to other connections
 
     @property
--- a/packages/node/src/walnutpost/node/worker_commands.py
+++ b/packages/node/src/walnutpost/node/worker_commands.py
@@ -19,6 +19,8 @@
 from walnutpost.node.worker_pool import WorkerPool
 
 PROBE_TIMEOUT_US = 1_000_000
+# With DELIVERY_TIMEOUT_US, no more than the 100 ms within which a call may begin after its client has left.
+TIMEOUT_MARGIN_US = 20_000
 
 
 class WorkerCommands:
@@ -63,9 +65,8 @@
             return
         self._start(effect.worker, exchange)
         if not self._pool.limits.may_cancel:
-            self._requests.call_at_end(
-                effect.caller_id, partial(self._loop.call_soon, partial(self._withdraw, exchange))
-            )
+            withdraw = partial(self._withdraw_at_end, exchange)
+            self._requests.call_at_end(effect.caller_id, partial(self._loop.call_soon, withdraw))
         if identity.idempotency_key and effect.attempt and effect.begin_within_us:
             self._limit_delivery(effect, now_us + effect.begin_within_us)
 
@@ -92,6 +93,11 @@
                 exchange.deliver_by_us = deliver_by_us
                 self._loop.call_at(deliver_by_us - DELIVERY_TIMEOUT_US, partial(self._withdraw, exchange))
 
+    def _withdraw_at_end(self, exchange: Exchange) -> None:
+        """Withdraw an attempt of a request that has ended, unless its own timeout is about to abandon it."""
+        if exchange.deadline_us - self._loop.now() > TIMEOUT_MARGIN_US:
+            self._withdraw(exchange)
+
     def _withdraw(self, exchange: Exchange) -> None:
         """Make sure that an attempt never begins if its worker hasn't received it; otherwise let it go on.
 
--- a/packages/node/src/walnutpost/node/worker_connection.py
+++ b/packages/node/src/walnutpost/node/worker_connection.py
@@ -306,7 +306,10 @@
         is_delivered = self._deliveries.is_delivered(call)
         if not is_delivered:
             self._suspend_if_silent(call)
-        self._cancel_at_worker(call)
+        if self._owner.limits.may_cancel:
+            self._cancel_at_worker(call)
+        elif call.was_connection_silent:
+            self._stop_use()  # only the end of the connection makes the worker give up the call
         if is_delivered:
             return
         if self._is_silent and not self.open:
@@ -327,6 +330,7 @@
     def _suspend_if_silent(self, call: Exchange) -> None:
         """Put nothing new on the connection for now if nothing has arrived since the call was sent."""
         if self._last_received_us < call.sent_us:
+            call.was_connection_silent = True
             self._is_silent = True
             self._move_unsent()
 
@@ -367,14 +371,14 @@
         if not self._deliveries.is_overdue():
             return
         self._owner.undelivered_resets += 1
-        for exchange in self.open.values():
-            if exchange.kind is CommandKind.CALL and exchange.progress is SendProgress.SENT:
-                self._cancel_at_worker(exchange)
+        if self._owner.limits.may_cancel:
+            for exchange in self.open.values():
+                if exchange.kind is CommandKind.CALL and exchange.progress is SendProgress.SENT:
+                    self._cancel_at_worker(exchange)
         self.fail()
 
     def _cancel_at_worker(self, call: Exchange) -> None:
-        if self._owner.limits.may_cancel:
-            self.send_one_way(resp.encode_kill(call.id))
+        self.send_one_way(resp.encode_kill(call.id))
 
     def _is_reusable_after(self, exchange: Exchange) -> bool:
         """Return whether the connection may carry other commands after an abandoned order, query or probe.
--- a/packages/node/tests/test_abandoned_calls.py
+++ b/packages/node/tests/test_abandoned_calls.py
@@ -42,6 +42,11 @@
     return None if command[0] == b"FN" else FakeWorker.default_answer(command)
 
 
+def answer_delivery_checks_only(command: Command) -> bytes | None:
+    """Answer nothing that the policy asks, which would be another sign of life."""
+    return answer_queries_only(command) if command[1].startswith(b"d") else None
+
+
 def send_call(harness: NodeHarness, worker: FakeWorker, client: Client) -> tuple[int, Command]:
     """Send a non-idempotent call; return its message id and the command that the worker received."""
     count_before = len(worker.calls())
@@ -241,3 +246,27 @@
         PolicyLimits={"Probes": may_probe},
     )
     run_scenario(scenario, workers=1, settings=changed)
+
+
+@pytest.mark.parametrize("leaves_early", [False, True])
+def test_without_cancelling_a_delivered_call_is_given_up_by_a_reset_at_its_timeout(
+    leaves_early: bool,
+) -> None:
+    """Guards against workers that go on with calls that nobody waits for, seen as less served."""
+
+    def scenario(harness: NodeHarness) -> None:
+        client = harness.client()
+        worker = warm_up_worker(harness, client)
+        worker.answer = answer_delivery_checks_only
+        harness.loop.sleep(10 * MILLISECOND_US)  # so that the earlier response is older than the call
+        message_id, _ = send_call(harness, worker, client)
+        if leaves_early:
+            interrupt(client, message_id)
+        harness.loop.sleep(2 * CANCELLED_CALL_LIMIT_US)
+        assert not worker.connection_ends
+        harness.loop.sleep(SECOND_US)
+        assert b"KILL" not in commands_after_calls(worker)
+        assert harness.node.pool.delivery_checks == leaves_early
+        assert worker.connection_ends[:1] == ["reset"]
+
+    run_scenario(scenario, workers=1, settings=settings(PolicyLimits={"Cancel": False}))
