--- a/review/lib-2/daemon_case.py
+++ b/review/lib-2/daemon_case.py
@@ -205,6 +205,7 @@
     def __init__(self, case: Case, name: str) -> None:
         self.name, self.case = name, case
         self.work_s = 0.05
+        self.load_s = 0.0  # how long an order to load takes
         self.refuses = False  # answers calls with 503 as never run
         self.runs: list[tuple[str, str, bytes]] = []  # function, execution name, payload
         worker = self
@@ -236,6 +237,7 @@
                     self._call(parts[2], body)
                 elif parts[-1] == "load":
                     wanted = int(json.loads(body)["parameters"]["copies"])
+                    time.sleep(worker.load_s)
                     self._answer(200, json.dumps({"copies": max(1, wanted)}).encode())
                 else:
                     self._answer(200)
