--- a/review/lib-2/load_client.py
+++ b/review/lib-2/load_client.py
@@ -1,5 +1,6 @@
 """Clients in one process, for a case with much traffic. Arguments: port, requests a second, seconds, functions,
-milliseconds until a client gives up, connections. Prints one line of JSON: what became of the requests.
+milliseconds until a client gives up, connections, a file. Prints one line of JSON: what became of the requests. Appends a
+line for each request to the file: id, class, function, when it was sent and answered (seconds), and the answer.
 
 Requests go round the connections; none has more than 32 open. The time of a request counts from its last byte, and an
 answer is late if it comes over half a second, and the 50 ms of the page, after the request's time.
@@ -28,16 +29,17 @@
     def __init__(self, writer: asyncio.StreamWriter) -> None:
         self.writer = writer
         self.last_id = 0
-        self.open: dict[int, float] = {}
+        self.open: dict[int, tuple[float, str]] = {}  # when it was sent, and its line
 
 
 async def main() -> None:
     """Send the requests, wait for their answers, and print the result."""
-    port, rate, span_s, functions, budget_ms, connection_count = (int(each) for each in sys.argv[1:])
+    port, rate, span_s, functions, budget_ms, connection_count = (int(each) for each in sys.argv[1:7])
     chance = random.Random(1)
     weights = [1 / (rank + 3) for rank in range(functions)]
     kinds: Counter[str] = Counter()
     late_s: list[float] = []
+    lines: list[str] = []
     twice = 0
 
     async def read(connection: Connection, reader: asyncio.StreamReader) -> None:
@@ -47,11 +49,14 @@
             now = time.time()
             unpacker.feed(data)
             for _, number, error, _ in unpacker:
-                sent_at = connection.open.pop(number, None)
-                if sent_at is None:
+                request = connection.open.pop(number, None)
+                if request is None:
                     twice += 1
                     continue
-                kinds["served" if error is None else error[0]] += 1
+                sent_at, line = request
+                kind = "served" if error is None else error[0]
+                kinds[kind] += 1
+                lines.append(f"{line} answered {now - began_at:.3f} {kind}")
                 over_s = now - sent_at - budget_ms / 1000
                 if over_s > LATE_S + SLACK_S:
                     late_s.append(over_s)
@@ -80,8 +85,13 @@
         request_class = "reservation" if number % 20 < 7 else "valuation"
         message = [0, connection.last_id, request_class, [fields, b"isbn " * 20]]
         connection.writer.write(msgpack.packb(message))
-        connection.open[connection.last_id] = time.time()
+        sent_at = time.time()
+        line = f"{fields['rid']} {request_class} {fields['obj']} sent {sent_at - began_at:.3f}"
+        connection.open[connection.last_id] = sent_at, line
     await asyncio.sleep(budget_ms / 1000 + TAIL_S)
+    lines += [line for each in connections for _, line in each.open.values()]
+    with open(sys.argv[7], "a") as record:
+        record.write("\n".join(lines) + "\n")
     result = {
         "answers": dict(kinds), "late": len(late_s), "latest_s": round(max(late_s, default=0.0), 2),
         "never": sum(len(each.open) for each in connections), "twice": twice, "not_sent": skipped,
