--- a/review/lib-2/daemon_case.py
+++ b/review/lib-2/daemon_case.py
@@ -202,7 +202,8 @@
 class Worker:
     """A worker on a thread: runs each call after `work_s`, holds any function that it is ordered to load."""
 
-    def __init__(self, case: Case, name: str) -> None:
+    def __init__(self, case: Case, name: str, is_quiet_for: tuple[str, ...] = ()) -> None:
+        """Runs of the functions `is_quiet_for` are not recorded one by one."""
         self.name, self.case = name, case
         self.work_s = 0.05
         self.load_s = 0.0  # how long an order to load takes
@@ -248,7 +249,8 @@
                     return
                 execution_name = self.headers.get("x-amz-durable-execution-name", "")
                 worker.runs.append((function, execution_name, body))
-                case.note(f"{name} runs {function} for {execution_name or 'a synchronous call'}")
+                if function not in is_quiet_for:
+                    case.note(f"{name} runs {function} for {execution_name or 'a synchronous call'}")
                 time.sleep(worker.work_s)
                 self._answer(200, json.dumps({"ran": execution_name or function}).encode())
 
--- a/review/lib-2/node_case.py
+++ b/review/lib-2/node_case.py
@@ -1,6 +1,6 @@
-"""What the cases of the platform's front end share: its process, clients, executors and the name server.
+"""What a case of the platform's front end needs: its process, its configuration, and the name server.
 
-The stand-ins follow ../given/kit/more/node/PROTOCOL.md. They use the libraries of requirements.txt alone, which the
+The stand-ins, and those of load_executors.py and load_client.py, follow ../given/kit/more/node/PROTOCOL.md. They use the libraries of requirements.txt alone, which the
 build of the deploy file installs. All addresses are loopback addresses.
 """
 
@@ -8,22 +8,18 @@
 
 import json
 import os
-import signal
 import socket
 import subprocess
 import threading
-import time
 import tomllib
-from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
-import dns.flags
 import dns.message
-import dns.rdatatype
 import dns.rrset
 import msgpack
 
-from daemon_case import ROOT, Case, CouldNotRun, free_port
+from daemon_case import ROOT, Case, free_port
 
 SERVICE = "_api._tcp.svc.local."
 # The settings are those of the example in the page WIRE, section 13, which is the site dublin-quays.
@@ -64,95 +60,33 @@
     "Reporting": {"Fields": ["utilization", "x0"], "How": "answers"},
     "ResultMix": {"Whole": 0.7, "WorstClass": 0.2, "WorstTenant": 0.0, "WorstWindow": 0.1},
     "SelfIndex": 0,
-    "Siblings": 2,
+    "Siblings": 1,
     "Tier": 0,
     "Tiers": ["pricing-workers"],
     "Weights": "none",
     "WorthBy": "request",
     "Zones": ["ormond-quay"],
 }
-ZONE, KIND = "ormond-quay", "twin-fast"
+ZONE = "ormond-quay"
+KINDS = ("twin-fast", "quad-slow")
 
 
-class Executor:
-    """An executor that holds every function; it refuses calls with BUSY while it drains."""
+@dataclass
+class Listed:
+    """An executor in the list; `kind` is one of the settings' kinds."""
 
-    def __init__(self, case: Case, name: str) -> None:
-        self.case, self.name = case, name
-        self.state = "Ready"
-        self.work_s = 0.03
-        self.calls: list[tuple[float, str]] = []  # time of arrival and request id
-        self.orders: list[tuple[float, str]] = []
-        self._lock = threading.Lock()
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
-        self.port = int(self._listener.getsockname()[1])
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
-
-    def _serve(self, connection: socket.socket) -> None:
-        sending = threading.Lock()
-        stream = connection.makefile("rb")
-
-        def answer(*elements: bytes) -> None:
-            data = b"*%d\r\n" % len(elements) + b"".join(b"$%d\r\n%b\r\n" % (len(e), e) for e in elements)
-            try:
-                with sending:
-                    connection.sendall(data)
-            except OSError:
-                pass
-
-        try:
-            while line := stream.readline():
-                command = []
-                for _ in range(int(line[1:])):
-                    size = int(stream.readline()[1:])
-                    command.append(stream.read(size + 2)[:size])
-                self._handle(command, answer)
-        except (OSError, ValueError):
-            pass
-        finally:
-            connection.close()
-
-    def _handle(self, command: list[bytes], answer: Callable[..., None]) -> None:
-        report = b"use=util:0.10;x0:0.10"
-        if command[0] == b"FN":
-            with self._lock:
-                self.calls.append((time.time(), command[1].decode()))
-            if self.state != "Ready":
-                answer(command[1], b"BUSY", report, b"")
-                return
-            body = b"done " + command[3]
-            fields = b"detail=resident," + report
-            threading.Timer(self.work_s, answer, (command[1], b"OK", fields, body)).start()
-        elif command[0] == b"SPAWN":
-            wanted = int(command[2].rpartition(b"slots_up=")[2])
-            if wanted:
-                with self._lock:
-                    self.orders.append((time.time(), command[2].decode()))
-            if wanted and self.state != "Ready":
-                answer(command[1], b"BUSY", b"slots_up=1", b"")
-            else:
-                answer(command[1], b"OK", b"slots_up=%d" % max(1, wanted), b"")
-        elif command[0] in (b"HELO", b"TOP"):
-            answer(command[1], b"UP", report, b"")
+    name: str
+    port: int
+    kind: str
+    state: str = "Ready"
 
 
 class NameServer:
-    """The name server: sends each answer `delay_s` after its query, with the list as it is when it sends."""
+    """The name server: answers each query with the list as it is."""
 
-    def __init__(self, executors: list[Executor]) -> None:
+    def __init__(self, executors: list[Listed]) -> None:
         self.executors = executors
         self.serial = 1
-        self.delay_s = 0.0
-        self.sent: list[tuple[float, int]] = []  # time and serial of each answer
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind(("127.0.0.1", 0))
         self.port = int(self._socket.getsockname()[1])
@@ -164,11 +98,7 @@
                 data, sender = self._socket.recvfrom(4096)
             except OSError:
                 return
-            query = dns.message.from_wire(data)
-            if self.delay_s:
-                threading.Timer(self.delay_s, self._answer, (query, sender)).start()
-            else:
-                self._answer(query, sender)
+            self._answer(dns.message.from_wire(data), sender)
 
     def _answer(self, query: dns.message.Message, sender: Any) -> None:
         response = dns.message.make_response(query)
@@ -182,58 +112,16 @@
         for each in listed:
             host = f"{each.name}.{ZONE}.hosts."
             response.additional.append(dns.rrset.from_text(host, 1, "IN", "A", "127.0.0.1"))
-            text = f'"kind={KIND}" "cell=0" "started=0"'
+            text = f'"kind={each.kind}" "cell=0" "started=0"'
             response.additional.append(dns.rrset.from_text(host, 1, "IN", "TXT", text))
-        self.sent.append((time.time(), serial))
         self._socket.sendto(response.to_wire(), sender)
 
 
-class Client:
-    """A client on one connection: sends requests, each with a new id, and collects the answers."""
-
-    def __init__(self, port: int, seed: int) -> None:
-        self._socket = socket.create_connection(("127.0.0.1", port), timeout=10)
-        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._seed = seed
-        self._last_id = 0
-        self.requests: dict[int, dict[str, Any]] = {}
-        self._lock = threading.Lock()
-        threading.Thread(target=self._read, daemon=True).start()
-
-    def call(self, request_class: str, function: int, body: bytes = b"isbn", budget_ms: int = 2500) -> dict[str, Any]:
-        """Send a request; the answer is put into the returned record."""
-        with self._lock:
-            self._last_id += 1
-            number = self._last_id
-            rid = f"{self._seed:04x}{number:012x}"
-            record = {"rid": rid, "class": request_class, "sent": time.time(), "answers": [], "body": body}
-            self.requests[number] = record
-            fields = {
-                "rid": rid, "budget": str(budget_ms), "obj": f"{function:016x}", "attrs": "memory_mb:512;lanes:2",
-            }
-            self._socket.sendall(msgpack.packb([0, number, request_class, [fields, body]]))
-        return record
-
-    def _read(self) -> None:
-        unpacker = msgpack.Unpacker()
-        while True:
-            try:
-                data = self._socket.recv(65536)
-            except OSError:
-                return
-            if not data:
-                return
-            unpacker.feed(data)
-            for _, number, error, result in unpacker:
-                if number in self.requests:
-                    self.requests[number]["answers"].append((time.time(), error, result))
-
-
-def start_node(case: Case, executors: list[Executor], name_server: NameServer, settings: dict[str, Any]) -> int:
+def start_node(case: Case, executors: list[Listed], name_server: NameServer, settings: dict[str, Any]) -> int:
     """Start a front end with the command `run` of the deploy file, wait until it is ready, return its port."""
     port = free_port()
     targets = [
-        {"uid": each.name, "endpoint": f"127.0.0.1:{each.port}", "az": ZONE, "model": KIND, "pod_group": 0,
+        {"uid": each.name, "endpoint": f"127.0.0.1:{each.port}", "az": ZONE, "model": each.kind, "pod_group": 0,
          "state": each.state, "capacity_hint": 1, "boot_ms": 0}
         for each in executors
     ]
@@ -266,6 +154,3 @@
 
     case.wait_for("the front end to be ready", is_ready)
     return port
-
-
-__all__ = ["Client", "CouldNotRun", "Executor", "NameServer", "SETTINGS", "signal", "start_node"]
