--- /dev/null
+++ b/packages/testsupport/src/walnutpost/testsupport/node/abuse_scenario.py
@@ -0,0 +1,167 @@
+"""Plays abusive clients against a node process that serves usual clients, and reports what these got."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from walnutpost.eventloop import Loop
+from walnutpost.testsupport.node.abusive_client import (
+    UNANSWERED_FUNCTION,
+    UNLOADABLE_FUNCTION,
+    AbuseKind,
+)
+from walnutpost.testsupport.node.harness import (
+    MILLISECOND_US,
+    SECOND_US,
+    Command,
+    FakeWorker,
+    reply,
+    settings,
+)
+from walnutpost.testsupport.node.node_process import NodeProcess, known_workers
+from walnutpost.testsupport.node.usual_load import SAFE_CLASS, UNSAFE_CLASS, LoadResult, UsualLoad
+
+WORKER_COUNT = 12
+REQUESTS_PER_SECOND = 100
+CONNECTION_COUNT = 20
+BUDGET_US = 2_500 * MILLISECOND_US
+QUIET_US = SECOND_US  # before the abuse starts
+TAIL_US = 3 * SECOND_US  # after it has ended; longer than the budget
+MAX_SOCKETS = 1024
+PROFILE = {"Aim": 1_000_000, "HardLimit": BUDGET_US, "Importance": 1.0, "LateWorth": 0.3}
+SETTINGS = settings(
+    Extra={"KeepAlive": 8_199_999, "OrderLimit": 10_000_000, "FreeLoads": 6.0, "LoadShare": 0.2},
+    Profiles=[
+        {**PROFILE, "Name": SAFE_CLASS, "Idempotency": "free"},
+        {**PROFILE, "Name": UNSAFE_CLASS, "Idempotency": "single_shot"},
+    ],
+)
+
+
+@dataclass(frozen=True, slots=True)
+class AbuseResult:
+    """What a node process and its usual clients went through."""
+
+    usual: LoadResult
+    peak_memory_mb: float
+    memory_after_mb: float
+    exit_code: int | None  # None if the process still ran at the end
+    calls_run_twice: int  # of the class whose calls must not run twice
+    abuse_report: str
+    log: str
+
+
+class ExecutingWorker(FakeWorker):
+    """A worker that has some functions loaded, loads others on order, and counts the calls that it runs."""
+
+    def __init__(self, loop: Loop, name: str, loaded: set[str], runs: dict[bytes, int]) -> None:
+        super().__init__(loop, name)
+        self._loaded = loaded
+        self._runs = runs
+        self.answer = self.execute
+
+    def execute(self, command: Command) -> bytes | None:
+        """Answer one command as an executor does."""
+        self.received_commands.clear()
+        if command[0] == b"SPAWN":
+            if _field(command[2], b"path") == UNLOADABLE_FUNCTION:
+                return reply(command[1], b"ERR", b"slots_up=0")
+            self._loaded.add(_field(command[2], b"path"))
+            return reply(command[1], b"OK", b"slots_up=1")
+        if command[0] != b"FN":
+            return None
+        function = _field(command[2], b"path")
+        if function == UNANSWERED_FUNCTION:
+            return None
+        if function not in self._loaded:
+            return reply(command[1], b"MISS")
+        self._runs[command[1]] = self._runs.get(command[1], 0) + 1
+        return reply(command[1], b"OK", b"detail=resident", b"did " + command[3])
+
+
+def _field(fields: bytes, name: bytes) -> str:
+    return next(
+        (
+            value.decode()
+            for key, _, value in (part.partition(b"=") for part in fields.split(b","))
+            if key == name
+        ),
+        "",
+    )
+
+
+def play_abuse(
+    folder: Path, kinds: list[AbuseKind], abuse_s: float = 6.0, memory_mb: int = 192, seed: int = 1
+) -> AbuseResult:
+    """Play these kinds of abuse at the same time, while usual clients send requests."""
+    loop = Loop()
+    results: list[AbuseResult] = []
+    node_processes: list[NodeProcess] = []
+    abusers: list[subprocess.Popen[str]] = []
+    runs: dict[bytes, int] = {}
+
+    def run() -> None:
+        workers = [ExecutingWorker(loop, f"s-{n:08x}", set(), runs) for n in range(WORKER_COUNT)]
+        node = NodeProcess(
+            loop,
+            folder,
+            known=known_workers([worker.target for worker in workers]),
+            settings=SETTINGS,
+            limits={"cores": 1.0, "memory_mb": memory_mb, "sockets": MAX_SOCKETS},
+        )
+        node_processes.append(node)
+        node.start()
+        usual = UsualLoad(loop, node.address, REQUESTS_PER_SECOND, BUDGET_US, seed)
+        for worker in workers:
+            worker._loaded.update(usual.functions, {UNANSWERED_FUNCTION})
+        usual.start(CONNECTION_COUNT)
+        loop.sleep(QUIET_US)
+        abusers.extend(start_abuse(kind, node.address, abuse_s, seed) for kind in kinds)
+        loop.sleep(int(abuse_s * SECOND_US))
+        usual_sending_until_us = loop.now() + SECOND_US
+        while loop.now() < usual_sending_until_us or any(each.poll() is None for each in abusers):
+            loop.sleep(10 * MILLISECOND_US)
+        usual.stop()
+        loop.sleep(TAIL_US)
+        exit_code = node.process.poll()
+        is_running = exit_code is None
+        results.append(
+            AbuseResult(
+                usual.result(),
+                node.peak_memory_mb() if is_running else 0.0,
+                node.memory_mb() if is_running else 0.0,
+                exit_code,
+                sum(
+                    runs.get(request.request_id.encode(), 0) > 1
+                    for request in usual.requests
+                    if request.request_class == UNSAFE_CLASS
+                ),
+                " ".join(
+                    f"{kind.value}: {each.communicate()[0].strip()}"
+                    for kind, each in zip(kinds, abusers, strict=True)
+                ),
+                node.log_path.read_text(),
+            )
+        )
+
+    try:
+        loop.run(run)
+    finally:
+        for abuser in abusers:
+            abuser.kill()
+            abuser.wait()
+        for node in node_processes:
+            node.kill()
+    return results[0]
+
+
+def start_abuse(
+    kind: AbuseKind, address: tuple[str, int], seconds: float, seed: int
+) -> subprocess.Popen[str]:
+    """Start a process that plays one kind of abuse."""
+    module = "walnutpost.testsupport.node.abusive_client"
+    arguments = [kind.value, address[0], str(address[1]), str(seconds), str(seed)]
+    return subprocess.Popen([sys.executable, "-m", module, *arguments], stdout=subprocess.PIPE, text=True)
