Node: what is read for one client is bounded, and it gets turns beside the others

What callers saw: while one connection sent requests that it cancelled in the same write, others got their answers up to 10 s late or not at all, and the process grew to over 200 MB. Cause: before each attempt the node read ahead on that client's connection, up to 1 MiB each time, into a list of batches without a bound, and one call then processed the whole list. If the queue is full when an attempt depends on what is behind it, the node can't know whether the client is still there: no attempt starts, each request that was read gets an answer, and the connection ends (node_stats: overflowed_connections). As many cancellations are remembered ahead as messages can be queued.

--- a/packages/node/src/walnutpost/node/client_connection.py
+++ b/packages/node/src/walnutpost/node/client_connection.py
@@ -14,9 +14,9 @@
 from walnutpost.eventloop import Stream
 from walnutpost.node import rpc
 from walnutpost.node.client_context import ClientContext
-from walnutpost.node.client_input import Batch, ClientInput
+from walnutpost.node.client_input import MAX_PARSED_AT_ONCE, READ_ALL_AFTER_US, ClientInput
 from walnutpost.node.client_output import ClientOutput
-from walnutpost.node.client_requests import ClientRequests
+from walnutpost.node.client_requests import NOT_PROCESSED_REASON, ClientRequests
 
 MESSAGE_TIMEOUT_US = 2_000_000  # an idle connection without a complete message is closed after this
 MAX_REJECTED_BEFORE_PAUSE = 8  # rejected messages on one connection, after which it is read more slowly
@@ -25,6 +25,7 @@
 LINGER_TIMEOUT_US = 500_000  # for a client to read its answers while its further input is discarded
 HALF_CLOSED_TIMEOUT_US = 3_000_000  # for a client that has shut down its sending side to read its answers
 MAX_PRESENCE_AGE_US = 50_000  # how long a client is assumed to be still there; at most 100 ms are allowed
+OVERFLOW_REASON = "more input is waiting than a connection may have"
 
 
 class ClientConnection:
@@ -48,12 +49,14 @@
         self._loop = context.loop
         self._stream = stream
         self._on_close = on_close
-        parser = rpc.MessageParser(context.class_deadlines_us, context.tenants)
+        parser = rpc.MessageParser(context.class_deadlines_us, context.tenants, MAX_PARSED_AT_ONCE)
         self._input = ClientInput(self._loop, stream, parser, arrived_after_us)
         self._output = ClientOutput(self._loop, stream, self._on_flushed, self.close)
         self._requests = ClientRequests(context, self._input, self._output, self.read_ahead, arrived_after_us)
         self._opened_us = self._loop.now()
         self._is_paused_until_flush = False
+        self._is_waiting_for_turn = False
+        self._has_overflowed = False  # too much input to find out whether the client is still there
         self.is_lingering = False  # the node has shut down its sending side, and the client may still read
 
     @property
@@ -73,8 +76,8 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is open and no answer is waiting to be sent."""
-        return not (self.open or self._output.has_pending)
+        """Whether no request is open or waits to be processed, and no answer waits to be sent."""
+        return not (self.open or self._output.has_pending or self._input.has_unprocessed)
 
     def write(self, data: bytes) -> None:
         """Send an answer."""
@@ -109,14 +112,16 @@
 
     def _prevent_cancelled_attempts(self) -> None:
         try:
-            batch = self._input.receive_ahead()
+            received = self._input.receive()
         except OSError:
             self._input.has_ended = True
         else:
-            for message in batch.messages:
+            self._requests.record_received(received)
+            for message in received:
                 if isinstance(message, rpc.Interrupt):
                     self._requests.prevent_attempts(message.message_ids)
-        if self._input.has_ended:
+            self._has_overflowed = self._input.is_full and self._input.has_unread()
+        if self._input.has_ended or self._has_overflowed:
             self._requests.prevent_attempts(self.open)
 
     def read(self) -> None:
@@ -135,39 +140,61 @@
             self._watch_readable()
             self.close_if_done()
 
+    def take_turn(self) -> None:
+        """Process more of the input, after waiting for a turn."""
+        self._is_waiting_for_turn = False
+        self.read()
+
     def _read(self) -> None:
         if self._stream.closed:
             return
         rejected_before = self._requests.rejected
         try:
-            batches = self._input.receive_all()
+            self._receive()
         except OSError:
             self.close()
             return
         if not self._input.is_discarding:
-            self._process(batches)
+            self._process()
         if self._input.has_ended:
             self._requests.answer_all()
-        if self._input.end_read_us is not None:
+        if self._input.end_read_us is not None and not self._input.has_unprocessed:
             self.close_if_done()
         else:
             self._schedule_read(self._requests.rejected > rejected_before)
 
-    def _process(self, batches: list[Batch]) -> None:
-        self._requests.process(batches)
-        if any(batch.error for batch in batches) and not self._input.is_discarding:
+    def _receive(self) -> None:
+        """Read more input if all messages that were read are processed, or if it may have waited for long."""
+        if not self._input.queue or self._input.has_unread_older_than(READ_ALL_AFTER_US):
+            self._requests.record_received(self._input.receive())
+
+    def _process(self) -> None:
+        if self._has_overflowed:
+            self._end_overflowed()
+            return
+        self._requests.process_some()
+        if self._input.error and not (self._input.queue or self._input.is_discarding):
             self._context.malformed_connections += 1
             self._input.discard()
         self._input.update_partial_since()
 
+    def _end_overflowed(self) -> None:
+        """Answer all requests, and accept no more: their cancellations could wait too long to be read."""
+        self._context.overflowed_connections += 1
+        self._requests.answer_all()
+        self._requests.stop_reading(OVERFLOW_REASON)
+
     def _schedule_read(self, was_rejected: bool) -> None:
         """Decide when to read again; `was_rejected` says whether the last read brought rejected messages."""
         if self._pause_if_overloaded(was_rejected):
             return
         if was_rejected and self._requests.rejected > MAX_REJECTED and not self._input.is_discarding:
             self._requests.answer_all()  # their cancellations would not be read any more
-            self._input.discard()
-        self._watch_readable()
+            self._requests.stop_reading(NOT_PROCESSED_REASON)
+        if self._input.has_unprocessed:
+            self._wait_for_turn()
+        else:
+            self._watch_readable()
         if self._input.is_discarding or self._context.is_draining:
             self.close_if_done()
 
@@ -189,6 +216,12 @@
             return True
         return False
 
+    def _wait_for_turn(self) -> None:
+        self._input.mark_paused()
+        if not self._is_waiting_for_turn:
+            self._is_waiting_for_turn = True
+            self._context.turns.add(self)
+
     def _watch_readable(self) -> None:
         if not self._stream.closed:
             self._stream.on_readable(self.read)
--- a/packages/node/src/walnutpost/node/client_context.py
+++ b/packages/node/src/walnutpost/node/client_context.py
@@ -6,6 +6,7 @@
 
 from walnutpost.dispatch import Dispatcher
 from walnutpost.eventloop import Logger, Loop
+from walnutpost.node.client_turns import ClientTurns
 from walnutpost.node.open_requests import OpenRequests
 
 MAX_OPEN_REQUESTS = 32  # on one client connection
@@ -21,7 +22,9 @@
     class_deadlines_us: dict[str, int]
     tenants: tuple[str, ...]
     requests: OpenRequests
+    turns: ClientTurns
     is_shutting_down: bool  # still accepts requests, but reports that it is not ready for more
     is_draining: bool  # accepts no new requests
     invalid_requests: int
     malformed_connections: int  # connections on which unreadable bytes arrived
+    overflowed_connections: int  # ended because more input was waiting than one may have
--- a/packages/node/src/walnutpost/node/client_input.py
+++ b/packages/node/src/walnutpost/node/client_input.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import select
+from collections import deque
 from dataclasses import dataclass
 
 from walnutpost.eventloop import Loop, Stream
@@ -10,30 +11,34 @@
 from walnutpost.node.client_context import MAX_OPEN_REQUESTS
 
 READ_ALL_AFTER_US = 20_000  # input that may have waited longer is read completely before it is processed
-MAX_BATCH_BYTES = 1 << 20  # enough for MAX_OPEN_REQUESTS requests of the maximum size
-MAX_BATCH_MESSAGES = 8 * MAX_OPEN_REQUESTS
+MAX_QUEUED_BYTES = 1 << 20  # enough for MAX_OPEN_REQUESTS requests of the maximum size
+MAX_QUEUED_MESSAGES = 8 * MAX_OPEN_REQUESTS
+MAX_PARSED_AT_ONCE = 2 * MAX_OPEN_REQUESTS  # all open requests of a connection, and their cancellations
 
 
 @dataclass(frozen=True, slots=True)
-class Batch:
-    """The result of one read: complete messages, and the error in the bytes that follow them, if any.
-
-    None of the bytes arrived before `arrived_after_us`.
-    """
+class QueuedMessage:
+    """A message that is still to be processed. None of its bytes arrived before `arrived_after_us`."""
 
+    message: rpc.Incoming
     arrived_after_us: int
-    messages: list[rpc.Incoming]
-    error: rpc.UnreadableMessageError | None
 
 
 class ClientInput:
-    """Reads and parses a client's input. Never closes the stream; raises OSError if the stream is broken."""
+    """Reads and parses a client's input, and queues the messages until they are processed.
+
+    The queue is bounded: `receive` reads nothing more while it is full. Never closes the stream; raises
+    OSError if the stream is broken.
+    """
 
     def __init__(self, loop: Loop, stream: Stream, parser: rpc.MessageParser, arrived_after_us: int) -> None:
         """No byte arrived on the stream before `arrived_after_us`."""
         self._loop = loop
         self._stream = stream
         self._parser = parser
+        self.queue: deque[QueuedMessage] = deque()
+        self._queued_bytes = 0  # read since the queue was last empty
+        self.error: rpc.UnreadableMessageError | None = None  # in the bytes after the queued messages
         self.is_discarding = False  # further input is unreadable or too much, and is not parsed
         self.has_ended = False  # the end of the input has arrived, possibly after unread bytes
         self.end_read_us: int | None = None  # when the end of the input was read
@@ -41,7 +46,6 @@
         self.partial_since_us: int | None = None
         # Unread bytes arrived after this time; None while the socket is watched and was last found empty.
         self._unread_since_us: int | None = arrived_after_us
-        self._read_ahead_batches: list[Batch] = []  # read early, and to be processed in order
 
     @property
     def is_closed(self) -> bool:
@@ -53,6 +57,16 @@
         """Whether the last message is incomplete."""
         return self._parser.has_partial
 
+    @property
+    def has_unprocessed(self) -> bool:
+        """Whether messages that were read, or may be in the bytes that were read, are to be processed."""
+        return bool(self.queue) or self._parser.may_have_more
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the queue has no room, so that nothing more is read until messages are processed."""
+        return self._queued_bytes >= MAX_QUEUED_BYTES or len(self.queue) >= MAX_QUEUED_MESSAGES
+
     @property
     def unread_since_us(self) -> int:
         """A time before which none of the unread bytes arrived."""
@@ -62,11 +76,13 @@
 
     def has_unread(self) -> bool:
         """Return whether bytes have arrived that are still unread."""
-        return self._stream.is_stale() and not self._stream.has_ended()
+        return self._parser.may_have_more or (self._stream.is_stale() and not self._stream.has_ended())
 
     def has_unread_older_than(self, age_us: int) -> bool:
         """Return whether unread bytes, or an unread end, may have arrived more than `age_us` ago."""
-        return self._loop.now() - self.unread_since_us > age_us and self._stream.is_stale()
+        if self._loop.now() - self.unread_since_us <= age_us:
+            return False
+        return self._parser.may_have_more or self._stream.is_stale()
 
     def mark_paused(self) -> None:
         """Record that input arriving from now on may wait before it is read."""
@@ -74,9 +90,13 @@
             self._unread_since_us = self._loop.now()
 
     def discard(self) -> None:
-        """Stop parsing; the end of the input is still detected."""
+        """Stop parsing, and drop what is queued; the end of the input is still detected."""
         self.is_discarding = True
         self.partial_since_us = None
+        self.error = None
+        self.queue.clear()
+        self._queued_bytes = 0
+        self._parser.clear()
 
     def update_partial_since(self) -> None:
         """Record when the input first ended in an incomplete message; None once it doesn't."""
@@ -85,43 +105,44 @@
         elif not self.partial_since_us:
             self.partial_since_us = self._loop.now()
 
-    def receive_ahead(self) -> Batch:
-        """Read a batch early; `receive_all` returns it again. Raises OSError if the connection broke."""
-        batch = self._receive()
-        self._read_ahead_batches.append(batch)
-        return batch
-
-    def receive_all(self) -> list[Batch]:
-        """Return the batches that were read ahead, and a new one. Raises OSError if the connection broke."""
-        batches = [*self._read_ahead_batches, self._receive()]
-        self._read_ahead_batches.clear()
-        return batches
+    def next_message(self) -> QueuedMessage:
+        """Remove and return the first message of the queue."""
+        queued = self.queue.popleft()
+        if not self.queue:
+            self._queued_bytes = 0
+        return queued
 
-    def _receive(self) -> Batch:
-        """Read once; if the bytes may have waited longer than READ_ALL_AFTER_US, read until none are left.
+    def receive(self) -> list[rpc.Incoming]:
+        """Read once, and queue and return the new messages. Raises OSError if the connection broke.
 
-        The input may contain the cancellation of a request long after the request itself.
+        If the bytes may have waited longer than READ_ALL_AFTER_US, this reads until none are left or the
+        queue is full: the input may contain the cancellation of a request long after the request itself.
         """
         arrived_after_us = self.unread_since_us
         must_read_all = self._loop.now() - arrived_after_us > READ_ALL_AFTER_US
-        is_discarding = self.is_discarding or any(batch.error for batch in self._read_ahead_batches)
-        messages: list[rpc.Incoming] = []
-        error: rpc.UnreadableMessageError | None = None
-        size = 0
-        may_have_more = True
-        while may_have_more:
-            data = self._stream.recv_nowait(rpc.MAX_READ_BYTES)
-            if data and not is_discarding:
-                parsed, error = self._parser.feed(data)
-                messages += parsed
-            may_have_more = data is not None and len(data) == rpc.MAX_READ_BYTES
-            size += len(data or b"")
-            is_full = size >= MAX_BATCH_BYTES or len(messages) >= MAX_BATCH_MESSAGES
-            if not must_read_all or error or is_full:
+        received: list[rpc.Incoming] = []
+        while not self.is_full and self.error is None:
+            may_have_more = self._receive_once(arrived_after_us, received)
+            self._unread_since_us = arrived_after_us if may_have_more else None
+            if not (must_read_all and may_have_more) or self.is_discarding:
                 break
-        self._unread_since_us = arrived_after_us if may_have_more else None
-        self._record_end(data, may_have_more)
-        return Batch(arrived_after_us, messages, error)
+        return received
+
+    def _receive_once(self, arrived_after_us: int, received: list[rpc.Incoming]) -> bool:
+        """Parse what is left of the last read, or read again; return whether more may have arrived."""
+        data: bytes | None = b""
+        is_new = not self._parser.may_have_more
+        if is_new:
+            data = self._stream.recv_nowait(rpc.MAX_READ_BYTES)
+        if (data or not is_new) and not self.is_discarding:
+            self._queued_bytes += len(data or b"")
+            messages, self.error = self._parser.feed(data or b"")
+            self.queue.extend(QueuedMessage(message, arrived_after_us) for message in messages)
+            received += messages
+        may_have_more = self._parser.may_have_more or (data is not None and len(data) == rpc.MAX_READ_BYTES)
+        if is_new:
+            self._record_end(data, may_have_more)
+        return may_have_more
 
     def _record_end(self, last_read: bytes | None, may_have_more: bool) -> None:
         """Record whether the input has ended; `last_read` is None if no bytes were available."""
--- a/packages/node/src/walnutpost/node/client_requests.py
+++ b/packages/node/src/walnutpost/node/client_requests.py
@@ -8,14 +8,18 @@
 from walnutpost.gateway import CallArrived, Failed, FinalAnswer, Function, Rejected, Served
 from walnutpost.node import rpc
 from walnutpost.node.client_context import MAX_OPEN_REQUESTS, ClientContext
-from walnutpost.node.client_input import Batch, ClientInput
+from walnutpost.node.client_input import MAX_QUEUED_MESSAGES, ClientInput
 from walnutpost.node.client_output import ClientOutput
 from walnutpost.node.open_requests import RequestIdentity
 
 FIRST_MESSAGE_ID = 1  # message id of a connection's first request; the ids increase from there
-MAX_CANCELLED_AHEAD = 64  # requests on one connection that were cancelled before they arrived
+# Requests on one connection that were cancelled before they were processed.
+MAX_CANCELLED_AHEAD = MAX_QUEUED_MESSAGES
+MAX_MESSAGES_PER_TURN = 2 * MAX_OPEN_REQUESTS
+MAX_TURN_US = 1_000  # processing time, after which a connection waits for another turn
 MAX_LOGGED_INVALID = 20  # logged invalid requests, on all connections together
 NO_MESSAGE_ID = -1
+NOT_PROCESSED_REASON = "not processed: a message before it ended this connection"
 
 
 class ClientRequests:
@@ -37,30 +41,40 @@
         self._read_ahead = read_ahead
         self._arrived_after_us = arrived_after_us  # of the message that is being handled
         self._last_message_id = NO_MESSAGE_ID
-        self._cancelled_ahead: set[int] = set()  # message ids of requests that have not arrived yet
+        self._cancelled_ahead: dict[int, None] = {}  # message ids of requests that were not processed yet
         self.open: dict[int, int] = {}  # caller ids by message id
         self.rejected = 0  # messages that were rejected, invalid or already cancelled
         self.has_valid_message = False  # whether a valid protocol message has arrived
         self.last_used_us = self._loop.now()  # when the last message was handled
 
-    def process(self, batches: list[Batch]) -> None:
-        """Handle the messages in order.
+    def record_received(self, messages: Iterable[rpc.Incoming]) -> None:
+        """Record which requests these messages cancel, before any of them is processed."""
+        for message in messages:
+            if isinstance(message, rpc.Interrupt):
+                self._record_cancelled(message)
+
+    def process_some(self) -> None:
+        """Process queued messages in order, up to the limits of one turn.
 
         If the connection stops reading because of a message, the requests after it get an error.
         """
-        messages = [(batch.arrived_after_us, message) for batch in batches for message in batch.messages]
-        for _, message in messages:
-            self._record_cancelled(message)
-        for index, (self._arrived_after_us, message) in enumerate(messages):
+        end_us = self._loop.now() + MAX_TURN_US
+        for _ in range(min(len(self._input.queue), MAX_MESSAGES_PER_TURN)):
+            queued = self._input.next_message()
+            self._arrived_after_us = queued.arrived_after_us
             try:
-                self._handle_guarded(message)
+                self._handle_guarded(queued.message)
             except Exception:
-                self._fail_unprocessed([rest for _, rest in messages[index + 1 :]])
+                self.fail_queued(NOT_PROCESSED_REASON)
                 raise
-            if self._input.is_discarding or self._input.is_closed:
-                self._fail_unprocessed([rest for _, rest in messages[index + 1 :]])
+            if self._input.is_discarding or self._input.is_closed or self._loop.now() >= end_us:
                 return
 
+    def stop_reading(self, reason: str) -> None:
+        """Send an error with this reason to each queued request, and discard all further input."""
+        self.fail_queued(reason)
+        self._input.discard()
+
     def prevent_attempts(self, message_ids: Iterable[int]) -> None:
         """Prevent further attempts for these requests. The gateway is told later, when they are cancelled."""
         for message_id in message_ids:
@@ -86,20 +100,21 @@
             else:
                 self._output.write(rpc.encode_overloaded(message_id))
 
-    def _record_cancelled(self, message: rpc.Incoming) -> None:
-        if isinstance(message, rpc.Interrupt):
-            message_ids = (*self._cancelled_ahead, *message.message_ids)
-            ahead = [message_id for message_id in message_ids if message_id > self._last_message_id]
-            self._cancelled_ahead = set(ahead[-MAX_CANCELLED_AHEAD:])
-
-    def _fail_unprocessed(self, messages: list[rpc.Incoming]) -> None:
-        """Send an error to each request after a message that made the connection stop reading."""
-        for message in messages:
+    def _record_cancelled(self, cancellation: rpc.Interrupt) -> None:
+        for message_id in cancellation.message_ids:
+            if message_id > self._last_message_id:
+                self._cancelled_ahead[message_id] = None
+                if len(self._cancelled_ahead) > MAX_CANCELLED_AHEAD:
+                    del self._cancelled_ahead[next(iter(self._cancelled_ahead))]
+
+    def fail_queued(self, reason: str) -> None:
+        """Remove all queued messages, and send an error with this reason to each request among them."""
+        while self._input.queue:
+            message = self._input.next_message().message
             if isinstance(message, rpc.Interrupt) or message.message_id <= self._last_message_id:
                 continue
             self._last_message_id = message.message_id
             if message.message_id not in self._cancelled_ahead:
-                reason = "not processed: a message before it ended this connection"
                 self._output.write(rpc.encode_internal_error(message.message_id, reason))
 
     def _handle_guarded(self, message: rpc.Incoming) -> None:
@@ -170,7 +185,7 @@
 
     def _skip_cancelled(self, message_id: int) -> None:
         """Ignore a request that was cancelled before it arrived; nobody waits for an answer."""
-        self._cancelled_ahead.discard(message_id)
+        del self._cancelled_ahead[message_id]
         self._last_message_id = message_id
         self.rejected += 1
 
@@ -196,7 +211,7 @@
             self._cancel(message_id)
             reason = "message id: used by two requests"
             self._output.write(rpc.encode_internal_error(message_id, reason))
-        self._input.discard()
+        self.stop_reading(NOT_PROCESSED_REASON)
 
     def _cancel(self, message_id: int) -> None:
         caller_id = self.open.pop(message_id, None)
--- a/packages/node/src/walnutpost/node/clients.py
+++ b/packages/node/src/walnutpost/node/clients.py
@@ -9,6 +9,7 @@
 from walnutpost.dispatch import Dispatcher
 from walnutpost.eventloop import AcceptErrorLog, Listener, Logger, Loop, Stream
 from walnutpost.node.client_connection import ClientConnection
+from walnutpost.node.client_turns import ClientTurns
 from walnutpost.node.open_requests import OpenRequests
 
 SWEEP_INTERVAL_US = 250_000
@@ -39,12 +40,14 @@
         }
         self.tenants = tenants
         self.requests = requests
+        self.turns = ClientTurns(loop)
         self.connections: dict[ClientConnection, None] = {}
         self._max_connections = max_connections
         self.is_shutting_down = False
         self.is_draining = False
         self.invalid_requests = 0
         self.malformed_connections = 0
+        self.overflowed_connections = 0
         self.evicted_connections = 0
         # Connections in the listener's queue arrived after this time; None while the listener is watched and
         # its queue was last seen empty.
--- a/packages/node/src/walnutpost/node/rpc.py
+++ b/packages/node/src/walnutpost/node/rpc.py
@@ -102,31 +102,55 @@
 class MessageParser:
     """Parses the bytes of one connection into messages."""
 
-    def __init__(self, class_deadlines_us: Mapping[str, int], tenants: Collection[str] = ()) -> None:
-        """`class_deadlines_us` is each class's maximum budget; without `tenants` the tenant is ignored."""
+    def __init__(
+        self,
+        class_deadlines_us: Mapping[str, int],
+        tenants: Collection[str] = (),
+        max_messages: int | None = None,
+    ) -> None:
+        """Create a parser that returns up to `max_messages` at a time; None means all.
+
+        `class_deadlines_us` is each class's maximum budget; without `tenants` the tenant is ignored.
+        """
         self._class_deadlines_us = class_deadlines_us
         self._tenants = tenants
-        self._incomplete = b""
+        self._max_messages = max_messages
+        self._unparsed = b""
+        self.may_have_more = False  # whether the last call stopped at the maximum number of messages
 
     @property
     def has_partial(self) -> bool:
         """Whether the last message is incomplete."""
-        return bool(self._incomplete)
+        return bool(self._unparsed) and not self.may_have_more
+
+    @property
+    def unparsed_bytes(self) -> int:
+        """Size of the input that no message has been made of yet."""
+        return len(self._unparsed)
+
+    def clear(self) -> None:
+        """Drop the input that no message has been made of yet."""
+        self._unparsed = b""
+        self.may_have_more = False
 
     def feed(self, data: bytes) -> tuple[list[Incoming], UnreadableMessageError | None]:
-        """Parse up to MAX_READ_BYTES more; return the complete messages and the error after them, if any."""
-        data = self._incomplete + data if self._incomplete else data
+        """Parse up to MAX_READ_BYTES more; return the complete messages and the error after them, if any.
+
+        If `may_have_more` is set, feed no more data until another call without any has cleared it.
+        """
+        data = self._unparsed + data if self._unparsed else data
         messages: list[Incoming] = []
-        self._incomplete = b""
+        self._unparsed = b""
+        self.may_have_more = False
         try:
             end = self._parse_messages(data, messages)
-            if len(data) - end > MAX_MESSAGE_BYTES:
+            if len(data) - end > MAX_MESSAGE_BYTES and not self.may_have_more:
                 raise UnreadableMessageError(f"a message is longer than {MAX_MESSAGE_BYTES} bytes")
         except UnreadableMessageError as error:
             return messages, error
         except (ValueError, TypeError, RecursionError, msgpack.UnpackException) as error:
             return messages, UnreadableMessageError(f"{type(error).__name__}: {error}")
-        self._incomplete = data[end:]
+        self._unparsed = data[end:]
         return messages, None
 
     def _parse_messages(self, data: bytes, messages: list[Incoming]) -> int:
@@ -143,13 +167,15 @@
         )
         end = 0
         unpacker.feed(data)
-        while True:
+        while len(messages) != self._max_messages:
             try:
                 value = unpacker.unpack()
             except msgpack.OutOfData:
                 return end
             end = unpacker.tell()
             messages.append(self._parse_message(value))
+        self.may_have_more = end < len(data)
+        return end
 
     def _parse_message(self, value: Any) -> Incoming:
         if type(value) is not list or not value:
--- a/packages/node/src/walnutpost/node/stats.py
+++ b/packages/node/src/walnutpost/node/stats.py
@@ -59,6 +59,7 @@
             malformed_responses=self._pool.malformed_responses,
             invalid_requests=self._clients.invalid_requests,
             malformed_connections=self._clients.malformed_connections,
+            overflowed_connections=self._clients.overflowed_connections,
             evicted_connections=self._clients.evicted_connections,
             discovery_responses_rejected=self._discovery.rejected_responses,
             cpu_seconds=round(time.process_time(), 2),
