Node: an incomplete message is scanned once, not parsed again from its first byte at each read

Cause: MessageParser.feed started a new unpacker at the first byte of the incomplete message on each read, so the time for a message grew with the square of its pieces, and objects were built and dropped each time. Change: MessageScanner keeps its position and the number of missing elements, builds nothing, and the message is unpacked once it is complete. Tests: for any value the end is found at its last byte; a message in pieces is looked at once (this and the endless array can't pass with the former code, which has no scanner).

--- a/packages/node/src/walnutpost/node/rpc.py
+++ b/packages/node/src/walnutpost/node/rpc.py
@@ -13,10 +13,12 @@
 
 from walnutpost.gateway.messages import Message
 from walnutpost.node.errors import NodeError
+from walnutpost.node.message_scanner import MessageScanner
 
 MAX_BODY_BYTES = 16 << 10
 MAX_MESSAGE_BYTES = MAX_BODY_BYTES + (8 << 10)  # the body and the fields
 MAX_READ_BYTES = 32 << 10  # maximum input to the parser per call
+MAX_UNPACKED_BYTES = MAX_MESSAGE_BYTES + MAX_READ_BYTES
 MAX_STRING_BYTES, MAX_ARRAY_ITEMS, MAX_MAP_ITEMS = 1024, 4096, 64
 UNPACKER_READ_BYTES = 4096
 MAX_MESSAGE_ID = (1 << 32) - 1
@@ -26,6 +28,8 @@
 IDEMPOTENCY_KEY = re.compile(r"[\w.:-]{0,64}", re.ASCII)  # sent to workers unescaped in a list of fields
 MAX_COST_MS = 1e9
 MAX_MEMORY_MB, MAX_CONCURRENCY, MAX_LOAD_MS = 1e6, 1e4, 1e7
+MESSAGE_OVERHEAD_BYTES = 1000  # memory of a parsed message without its body
+MESSAGE_ID_BYTES = 40
 BUDGET_SLACK_MS = 1000  # allows for a client's rounding; the check only rejects implausible budgets
 
 
@@ -77,6 +81,17 @@
 Incoming = CallRequest | CheckRequest | Interrupt | InvalidRequest
 
 
+def memory_bytes(message: Incoming) -> int:
+    """Return about how much memory a message takes."""
+    match message:
+        case CallRequest():
+            return MESSAGE_OVERHEAD_BYTES + len(message.body)
+        case Interrupt(message_ids):
+            return MESSAGE_OVERHEAD_BYTES + MESSAGE_ID_BYTES * len(message_ids)
+        case _:
+            return MESSAGE_OVERHEAD_BYTES
+
+
 def encode_result(message_id: int, body: bytes) -> bytes:
     """Encode the answer to a successful call."""
     return msgpack.packb([RESPONSE, message_id, None, [body, {}]])  # type: ignore[no-any-return]
@@ -116,6 +131,7 @@
         self._tenants = tenants
         self._max_messages = max_messages
         self._unparsed = b""
+        self._scanner: MessageScanner | None = None  # of the incomplete message
         self.may_have_more = False  # whether the last call stopped at the maximum number of messages
 
     @property
@@ -131,6 +147,7 @@
     def clear(self) -> None:
         """Drop the input that no message has been made of yet."""
         self._unparsed = b""
+        self._scanner = None
         self.may_have_more = False
 
     def feed(self, data: bytes) -> tuple[list[Incoming], UnreadableMessageError | None]:
@@ -143,7 +160,7 @@
         self._unparsed = b""
         self.may_have_more = False
         try:
-            end = self._parse_messages(data, messages)
+            end = self._parse_messages(data, messages) if self._is_first_complete(data) else 0
             if len(data) - end > MAX_MESSAGE_BYTES and not self.may_have_more:
                 raise UnreadableMessageError(f"a message is longer than {MAX_MESSAGE_BYTES} bytes")
         except UnreadableMessageError as error:
@@ -153,12 +170,23 @@
         self._unparsed = data[end:]
         return messages, None
 
+    def _is_first_complete(self, data: bytes) -> bool:
+        """Return False if the message that was incomplete still is. Raises ValueError if it can't be read."""
+        if self._scanner is None:
+            return True
+        if self._scanner.scan(data):
+            self._scanner = None
+            return True
+        if self._scanner.min_size > MAX_UNPACKED_BYTES:
+            raise ValueError(f"a message of at least {self._scanner.min_size} bytes")
+        return False
+
     def _parse_messages(self, data: bytes, messages: list[Incoming]) -> int:
         """Append the complete messages to `messages`, and return the end position of the last one."""
         # A reused unpacker would keep its largest buffer for the lifetime of the connection.
         unpacker = msgpack.Unpacker(
             read_size=min(len(data), UNPACKER_READ_BYTES) or 1,
-            max_buffer_size=MAX_MESSAGE_BYTES + MAX_READ_BYTES,
+            max_buffer_size=MAX_UNPACKED_BYTES,
             max_str_len=MAX_STRING_BYTES,
             max_bin_len=MAX_MESSAGE_BYTES,
             max_array_len=MAX_ARRAY_ITEMS,
@@ -171,6 +199,7 @@
             try:
                 value = unpacker.unpack()
             except msgpack.OutOfData:
+                self._scanner = MessageScanner() if end < len(data) else None
                 return end
             end = unpacker.tell()
             messages.append(self._parse_message(value))
