Node: what it holds for clients stays within a part of limits.memory_mb; MaxOpen is kept

Cause: every bound was one for each connection: 32 bodies of 16 KiB, 1 MiB of unsent answers, 1 MiB of input, an incomplete message. Their sum over 500 connections is hundreds of MB. Change: MemoryBudget, one for open requests and one for input and unsent answers, together 0.3 of the limit beyond what a serving process takes itself. A connection may hold as much as is still free (dynamic thresholds), so n greedy ones leave 1 / (n + 1) to another; beyond that a request is rejected, an answer that the client doesn't read becomes an error, reading stops, and the oldest incomplete messages and unread answers make room. No more than MaxOpen requests are open. node_stats shows the resident size and what was rejected or ended.

--- a/packages/node/src/walnutpost/node/client_connection.py
+++ b/packages/node/src/walnutpost/node/client_connection.py
@@ -17,6 +17,7 @@
 from walnutpost.node.client_input import MAX_PARSED_AT_ONCE, READ_ALL_AFTER_US, ClientInput
 from walnutpost.node.client_output import ClientOutput
 from walnutpost.node.client_requests import NOT_PROCESSED_REASON, ClientRequests
+from walnutpost.node.memory_budget import MemoryShare
 
 MESSAGE_TIMEOUT_US = 2_000_000  # an idle connection without a complete message is closed after this
 MAX_REJECTED_BEFORE_PAUSE = 8  # rejected messages on one connection, after which it is read more slowly
@@ -25,6 +26,7 @@
 LINGER_TIMEOUT_US = 500_000  # for a client to read its answers while its further input is discarded
 HALF_CLOSED_TIMEOUT_US = 3_000_000  # for a client that has shut down its sending side to read its answers
 MAX_PRESENCE_AGE_US = 50_000  # how long a client is assumed to be still there; at most 100 ms are allowed
+MIN_RECLAIM_AGE_US = 100_000  # an incomplete message or an unread answer is part of the usual traffic so long
 OVERFLOW_REASON = "more input is waiting than a connection may have"
 
 
@@ -50,8 +52,9 @@
         self._stream = stream
         self._on_close = on_close
         parser = rpc.MessageParser(context.class_deadlines_us, context.tenants, MAX_PARSED_AT_ONCE)
-        self._input = ClientInput(self._loop, stream, parser, arrived_after_us)
-        self._output = ClientOutput(self._loop, stream, self._on_flushed, self.close)
+        self._buffer_memory = MemoryShare(context.buffer_memory)
+        self._input = ClientInput(self._loop, stream, parser, self._buffer_memory, arrived_after_us)
+        self._output = ClientOutput(self._loop, stream, self._buffer_memory, self._on_flushed, self.close)
         self._requests = ClientRequests(context, self._input, self._output, self.read_ahead, arrived_after_us)
         self._opened_us = self._loop.now()
         self._is_paused_until_flush = False
@@ -177,6 +180,26 @@
             self._context.malformed_connections += 1
             self._input.discard()
         self._input.update_partial_since()
+        if self._input.has_partial and not self._buffer_memory.may_grow(0):
+            self._context.reclaim_memory()
+
+    def reclaimable_since_us(self, now_us: int) -> int | None:
+        """Return since when the connection holds memory of which its client makes no use; None if it doesn't.
+
+        That is the memory of an incomplete message, or of answers that the client doesn't read.
+        """
+        since_us = [each for each in (self._input.partial_since_us, self._output.stalled_since_us) if each]
+        oldest_us = min(since_us, default=now_us)
+        return oldest_us if now_us - oldest_us >= MIN_RECLAIM_AGE_US else None
+
+    def reclaim_memory(self) -> None:
+        """Close the connection if its client reads no answers; else discard its incomplete message."""
+        if self._output.stalled_since_us is not None:
+            self.close()
+        else:
+            self._input.discard()
+            self._watch_readable()
+            self.close_if_done()
 
     def _end_overflowed(self) -> None:
         """Answer all requests, and accept no more: their cancellations could wait too long to be read."""
@@ -284,3 +307,5 @@
         self._stream.close()
         self._on_close(self)
         self._requests.cancel_all()
+        self._input.discard()
+        self._output.drop()
--- a/packages/node/src/walnutpost/node/client_input.py
+++ b/packages/node/src/walnutpost/node/client_input.py
@@ -9,6 +9,7 @@
 from walnutpost.eventloop import Loop, Stream
 from walnutpost.node import rpc
 from walnutpost.node.client_context import MAX_OPEN_REQUESTS
+from walnutpost.node.memory_budget import MemoryShare
 
 READ_ALL_AFTER_US = 20_000  # input that may have waited longer is read completely before it is processed
 MAX_QUEUED_BYTES = 1 << 20  # enough for MAX_OPEN_REQUESTS requests of the maximum size
@@ -31,11 +32,21 @@
     OSError if the stream is broken.
     """
 
-    def __init__(self, loop: Loop, stream: Stream, parser: rpc.MessageParser, arrived_after_us: int) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        stream: Stream,
+        parser: rpc.MessageParser,
+        memory: MemoryShare,
+        arrived_after_us: int,
+    ) -> None:
         """No byte arrived on the stream before `arrived_after_us`."""
         self._loop = loop
         self._stream = stream
         self._parser = parser
+        self._memory = memory
+        self._held_bytes = 0  # the part of `memory` that the input holds
+        self._queue_bytes = 0  # memory of the queued messages
         self.queue: deque[QueuedMessage] = deque()
         self._queued_bytes = 0  # read since the queue was last empty
         self.error: rpc.UnreadableMessageError | None = None  # in the bytes after the queued messages
@@ -65,7 +76,9 @@
     @property
     def is_full(self) -> bool:
         """Whether the queue has no room, so that nothing more is read until messages are processed."""
-        return self._queued_bytes >= MAX_QUEUED_BYTES or len(self.queue) >= MAX_QUEUED_MESSAGES
+        if self._queued_bytes >= MAX_QUEUED_BYTES or len(self.queue) >= MAX_QUEUED_MESSAGES:
+            return True
+        return bool(self.queue) and not self._memory.may_grow(rpc.MAX_READ_BYTES)
 
     @property
     def unread_since_us(self) -> int:
@@ -95,8 +108,9 @@
         self.partial_since_us = None
         self.error = None
         self.queue.clear()
-        self._queued_bytes = 0
+        self._queued_bytes = self._queue_bytes = 0
         self._parser.clear()
+        self._update_memory()
 
     def update_partial_since(self) -> None:
         """Record when the input first ended in an incomplete message; None once it doesn't."""
@@ -110,8 +124,15 @@
         queued = self.queue.popleft()
         if not self.queue:
             self._queued_bytes = 0
+        self._queue_bytes -= rpc.memory_bytes(queued.message)
+        self._update_memory()
         return queued
 
+    def _update_memory(self) -> None:
+        held_bytes = self._queue_bytes + self._parser.unparsed_bytes
+        self._memory.change(held_bytes - self._held_bytes)
+        self._held_bytes = held_bytes
+
     def receive(self) -> list[rpc.Incoming]:
         """Read once, and queue and return the new messages. Raises OSError if the connection broke.
 
@@ -139,6 +160,8 @@
             messages, self.error = self._parser.feed(data or b"")
             self.queue.extend(QueuedMessage(message, arrived_after_us) for message in messages)
             received += messages
+            self._queue_bytes += sum(map(rpc.memory_bytes, messages))
+            self._update_memory()
         may_have_more = self._parser.may_have_more or (data is not None and len(data) == rpc.MAX_READ_BYTES)
         if is_new:
             self._record_end(data, may_have_more)
--- a/packages/node/src/walnutpost/node/client_requests.py
+++ b/packages/node/src/walnutpost/node/client_requests.py
@@ -10,6 +10,7 @@
 from walnutpost.node.client_context import MAX_OPEN_REQUESTS, ClientContext
 from walnutpost.node.client_input import MAX_QUEUED_MESSAGES, ClientInput
 from walnutpost.node.client_output import ClientOutput
+from walnutpost.node.memory_budget import MemoryShare
 from walnutpost.node.open_requests import RequestIdentity
 
 FIRST_MESSAGE_ID = 1  # message id of a connection's first request; the ids increase from there
@@ -18,6 +19,7 @@
 MAX_MESSAGES_PER_TURN = 2 * MAX_OPEN_REQUESTS
 MAX_TURN_US = 1_000  # processing time, after which a connection waits for another turn
 MAX_LOGGED_INVALID = 20  # logged invalid requests, on all connections together
+REQUEST_OVERHEAD_BYTES = 8_000  # memory of an open request and its attempts, without the body
 NO_MESSAGE_ID = -1
 NOT_PROCESSED_REASON = "not processed: a message before it ended this connection"
 
@@ -38,11 +40,13 @@
         self._loop = context.loop
         self._input = incoming
         self._output = output
+        self._memory = MemoryShare(context.request_memory)
         self._read_ahead = read_ahead
         self._arrived_after_us = arrived_after_us  # of the message that is being handled
         self._last_message_id = NO_MESSAGE_ID
         self._cancelled_ahead: dict[int, None] = {}  # message ids of requests that were not processed yet
         self.open: dict[int, int] = {}  # caller ids by message id
+        self._open_bytes: dict[int, int] = {}  # memory of the open requests by message id
         self.rejected = 0  # messages that were rejected, invalid or already cancelled
         self.has_valid_message = False  # whether a valid protocol message has arrived
         self.last_used_us = self._loop.now()  # when the last message was handled
@@ -170,7 +174,7 @@
         return ""
 
     def _open_or_reject(self, call: rpc.CallRequest) -> None:
-        is_overloaded = self._is_overloaded()
+        is_overloaded = self._is_overloaded(REQUEST_OVERHEAD_BYTES + len(call.body))
         if is_overloaded or self._input.has_ended:
             self.rejected += is_overloaded
             self._output.write(rpc.encode_overloaded(call.message_id))
@@ -178,8 +182,11 @@
             self.has_valid_message = True
             self._open(call)
 
-    def _is_overloaded(self) -> bool:
-        """Return whether this connection currently accepts no more requests."""
+    def _is_overloaded(self, request_bytes: int) -> bool:
+        """Return whether this connection currently accepts no request that takes so much memory."""
+        if not self._memory.may_grow(request_bytes) or not self._context.may_open_request:
+            self._context.rejected_for_memory += 1
+            return True
         is_full = len(self.open) >= MAX_OPEN_REQUESTS
         return is_full or self._output.is_above_high_water or self._context.is_draining
 
@@ -214,15 +221,22 @@
         self.stop_reading(NOT_PROCESSED_REASON)
 
     def _cancel(self, message_id: int) -> None:
-        caller_id = self.open.pop(message_id, None)
+        caller_id = self._remove(message_id)
         if caller_id is not None:
             self._context.requests.remove(caller_id)
             self._loop.run_guarded("cancel", partial(self._context.dispatcher.abandon, caller_id))
 
+    def _remove(self, message_id: int) -> int | None:
+        """Remove an open request; return its caller id, or None if it is not open."""
+        self._memory.change(-self._open_bytes.pop(message_id, 0))
+        return self.open.pop(message_id, None)
+
     def _open(self, call: rpc.CallRequest) -> None:
         dispatcher = self._context.dispatcher
         caller_id = dispatcher.new_caller_id()
         self.open[call.message_id] = caller_id
+        self._open_bytes[call.message_id] = REQUEST_OVERHEAD_BYTES + len(call.body)
+        self._memory.change(self._open_bytes[call.message_id])
         identity = RequestIdentity(call.request_id.encode(), call.request_class, call.idempotency_key)
         self._context.requests.add(caller_id, identity, self._read_ahead)
         dispatcher.submit(self._arrival(call, caller_id), partial(self._answer, call.message_id, caller_id))
@@ -256,7 +270,7 @@
 
     def _answer(self, message_id: int, caller_id: int, final: FinalAnswer) -> None:
         self._context.requests.remove(caller_id)
-        if self.open.pop(message_id, None) is None:
+        if self._remove(message_id) is None:
             return
         match final:
             case Served(payload) if not self._output.has_capacity(len(payload)):
--- a/packages/node/src/walnutpost/node/clients.py
+++ b/packages/node/src/walnutpost/node/clients.py
@@ -9,7 +9,9 @@
 from walnutpost.dispatch import Dispatcher
 from walnutpost.eventloop import AcceptErrorLog, Listener, Logger, Loop, Stream
 from walnutpost.node.client_connection import ClientConnection
+from walnutpost.node.client_limits import ClientLimits
 from walnutpost.node.client_turns import ClientTurns
+from walnutpost.node.memory_budget import MemoryBudget
 from walnutpost.node.open_requests import OpenRequests
 
 SWEEP_INTERVAL_US = 250_000
@@ -27,7 +29,7 @@
         settings: api.Settings,
         classes: tuple[str, ...],
         tenants: tuple[str, ...],
-        max_connections: int,
+        limits: ClientLimits,
         log: Logger,
     ) -> None:
         """`classes` are the names of the classes in the settings, in the same order."""
@@ -42,12 +44,18 @@
         self.requests = requests
         self.turns = ClientTurns(loop)
         self.connections: dict[ClientConnection, None] = {}
-        self._max_connections = max_connections
+        self._max_connections = limits.max_connections
+        self._max_open_requests = limits.max_open_requests
+        # Separate, so that input for which there is no room can't keep requests out.
+        self.request_memory = MemoryBudget(limits.memory_bytes // 2)
+        self.buffer_memory = MemoryBudget(limits.memory_bytes // 2)
         self.is_shutting_down = False
         self.is_draining = False
         self.invalid_requests = 0
         self.malformed_connections = 0
         self.overflowed_connections = 0
+        self.reclaimed_connections = 0
+        self.rejected_for_memory = 0
         self.evicted_connections = 0
         # Connections in the listener's queue arrived after this time; None while the listener is watched and
         # its queue was last seen empty.
@@ -126,6 +134,29 @@
             self._mark_backlog()  # the listener may have called this, and then waits for a file descriptor
         return is_evicted
 
+    @property
+    def may_open_request(self) -> bool:
+        """Whether the node may have another request open."""
+        return len(self.requests) < self._max_open_requests
+
+    def reclaim_memory(self) -> None:
+        """End connections that hold memory of which their clients make no use, until enough is free.
+
+        Those that hold it longest come first.
+        """
+        now_us = self.loop.now()
+        candidates = [
+            (since_us, connection)
+            for connection in self.connections
+            if (since_us := connection.reclaimable_since_us(now_us)) is not None
+        ]
+        candidates.sort(key=lambda candidate: candidate[0])
+        for _, connection in candidates:
+            if not self.buffer_memory.is_short:
+                return
+            self.reclaimed_connections += 1
+            self.loop.run_guarded("client", connection.reclaim_memory)
+
     def _sweep(self) -> None:
         now_us = self.loop.now()
         for connection in list(self.connections):
--- a/packages/node/src/walnutpost/node/config.py
+++ b/packages/node/src/walnutpost/node/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import sys
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -13,6 +14,7 @@
 from walnutpost.node.errors import NodeError
 
 MAX_PORT = 65535
+DEFAULT_MEMORY_MB = 192  # where the configuration states no limit
 REQUIRED_KEYS = ("listen", "dns", "settings", "known")
 
 
@@ -25,13 +27,16 @@
     """The validated configuration.
 
     `known_events` are the name server's events up to the start, not parsed yet. `max_descriptors` is the
-    limit on open file descriptors of the process. `max_streams` is the limit on concurrent calls on one
+    limit on open file descriptors of the process, and `memory_mb` that on its memory. `max_open_requests` is
+    the limit on requests without an answer. `max_streams` is the limit on concurrent calls on one
     connection to a worker.
     """
 
     listen: Address
     seed: int
     max_descriptors: int
+    memory_mb: int
+    max_open_requests: int
     dns: Address
     known_events: dict[str, Any]
     settings: api.Settings
@@ -87,6 +92,8 @@
         listen=parse_address(root["listen"], "listen"),
         seed=int(str(root.get("seed", "0")), 16),
         max_descriptors=process_limits.require_integer("sockets"),
+        memory_mb=process_limits.integer("memory_mb") or DEFAULT_MEMORY_MB,
+        max_open_requests=policy_limits.integer("MaxOpen") or sys.maxsize,
         dns=parse_address(root["dns"], "dns"),
         known_events=root["known"],
         settings=settings,
--- a/packages/node/src/walnutpost/node/message_scanner.py
+++ b/packages/node/src/walnutpost/node/message_scanner.py
@@ -7,20 +7,22 @@
 
 from __future__ import annotations
 
+import re
+
+# Small numbers, constants, and empty strings, arrays and maps.
+ONE_BYTE_ELEMENTS = re.compile(rb"[\x00-\x80\x90\xa0\xc0\xc2\xc3\xe0-\xff]+")
 LENGTH_BYTES = {  # of strings and binary data, by the first byte
     **{0xC4 + power: 1 << power for power in range(3)},
     **{0xD9 + power: 1 << power for power in range(3)},
 }
 COUNT_BYTES = {0xDC: 2, 0xDD: 4, 0xDE: 2, 0xDF: 4}  # of arrays and maps, by the first byte
-FIXED_BYTES = {  # size of numbers and of the constants nil, false and true, by the first byte
-    **dict.fromkeys((0xC0, 0xC2, 0xC3), 1),
+FIXED_BYTES = {  # size of numbers, by the first byte
     **dict.fromkeys((0xCC, 0xD0), 2),
     **dict.fromkeys((0xCD, 0xD1), 3),
     **dict.fromkeys((0xCA, 0xCE, 0xD2), 5),
     **dict.fromkeys((0xCB, 0xCF, 0xD3), 9),
 }
 FIRST_FIXED_MAP, FIRST_FIXED_ARRAY, FIRST_FIXED_STRING, FIRST_OTHER = 0x80, 0x90, 0xA0, 0xC0
-FIRST_NEGATIVE_NUMBER = 0xE0
 FIRST_MAP = 0xDE
 MAX_FIXED_COUNT, MAX_FIXED_LENGTH = 15, 31
 
@@ -46,17 +48,20 @@
 
     def _scan_element(self, data: bytes) -> bool:
         """Skip an element, or the header of an array or a map; return False if its header is incomplete."""
+        run = ONE_BYTE_ELEMENTS.match(data, self._position, self._position + self._missing)
+        if run is not None:
+            self._missing -= run.end() - self._position
+            self._position = run.end()
+            return True
         first = data[self._position]
         if first in COUNT_BYTES or first in LENGTH_BYTES:
             return self._scan_with_length(data, first)
         size, inner = 1, 0
-        if first < FIRST_FIXED_MAP or first >= FIRST_NEGATIVE_NUMBER:
-            pass
-        elif first < FIRST_FIXED_ARRAY:
+        if FIRST_FIXED_MAP < first < FIRST_FIXED_ARRAY:
             inner = 2 * (first & MAX_FIXED_COUNT)
-        elif first < FIRST_FIXED_STRING:
+        elif FIRST_FIXED_ARRAY < first < FIRST_FIXED_STRING:
             inner = first & MAX_FIXED_COUNT
-        elif first < FIRST_OTHER:
+        elif FIRST_FIXED_STRING < first < FIRST_OTHER:
             size += first & MAX_FIXED_LENGTH
         elif first in FIXED_BYTES:
             size = FIXED_BYTES[first]
--- a/packages/node/src/walnutpost/node/node.py
+++ b/packages/node/src/walnutpost/node/node.py
@@ -6,10 +6,12 @@
 from walnutpost.eventloop import Listener, Logger, Loop
 from walnutpost.gateway import Catalogue, Gateway, ShuttingDown, WorkersListed
 from walnutpost.interface import ListKind
+from walnutpost.node.client_limits import ClientLimits
 from walnutpost.node.clients import Clients
 from walnutpost.node.config import Config
 from walnutpost.node.directory import Directory
 from walnutpost.node.discovery import DiscoveryClient
+from walnutpost.node.memory_budget import client_memory_bytes
 from walnutpost.node.open_requests import OpenRequests
 from walnutpost.node.stats import STATS_INTERVAL_US, StatsReporter
 from walnutpost.node.worker_commands import WorkerCommands
@@ -53,7 +55,7 @@
             config.settings,
             config.classes,
             config.tenants,
-            int(config.max_descriptors * CLIENT_DESCRIPTOR_RATIO),
+            _client_limits(config),
             log,
         )
         self.directory = Directory(config.topology_names)
@@ -112,6 +114,14 @@
         return bool(connections) and self._loop.now() < end_us
 
 
+def _client_limits(config: Config) -> ClientLimits:
+    return ClientLimits(
+        int(config.max_descriptors * CLIENT_DESCRIPTOR_RATIO),
+        config.max_open_requests,
+        client_memory_bytes(config.memory_mb),
+    )
+
+
 def _worker_limits(config: Config) -> WorkerLimits:
     return WorkerLimits(
         config.connect_timeout_us,
--- a/packages/node/src/walnutpost/node/open_requests.py
+++ b/packages/node/src/walnutpost/node/open_requests.py
@@ -29,6 +29,11 @@
         self._read_ahead_callbacks: dict[int, Callable[[], None]] = {}  # by caller id
         self._attempted: set[int] = set()
         self._end_callbacks: dict[int, list[Callable[[], None]]] = {}  # by caller id
+        self._caller_ids: set[int] = set()
+
+    def __len__(self) -> int:
+        """Return how many requests are open."""
+        return len(self._caller_ids)
 
     def add(self, caller_id: int, identity: RequestIdentity, read_ahead: Callable[[], None]) -> None:
         """Add a request.
@@ -36,6 +41,7 @@
         `read_ahead` reads unread bytes of its connection early, and calls `prevent_attempts` if they cancel
         it.
         """
+        self._caller_ids.add(caller_id)
         self.identities[caller_id] = identity
         self.request_ids.add(identity.request_id)
         self._read_ahead_callbacks[caller_id] = read_ahead
@@ -72,6 +78,7 @@
     def remove(self, caller_id: int) -> None:
         """Remove a request that has ended at this node."""
         self.prevent_attempts(caller_id)
+        self._caller_ids.discard(caller_id)
         self._attempted.discard(caller_id)
         for callback in self._end_callbacks.pop(caller_id, ()):
             callback()
--- a/packages/node/src/walnutpost/node/stats.py
+++ b/packages/node/src/walnutpost/node/stats.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import os
 import time
+from pathlib import Path
 
 from walnutpost.dispatch import Dispatcher
 from walnutpost.eventloop import Logger
 from walnutpost.interface import Outcome
 from walnutpost.node.clients import Clients
 from walnutpost.node.discovery import DiscoveryClient
+from walnutpost.node.memory_budget import BYTES_PER_MB
 from walnutpost.node.worker_commands import WorkerCommands
 from walnutpost.node.worker_pool import WorkerPool
 
@@ -60,6 +63,12 @@
             invalid_requests=self._clients.invalid_requests,
             malformed_connections=self._clients.malformed_connections,
             overflowed_connections=self._clients.overflowed_connections,
+            reclaimed_connections=self._clients.reclaimed_connections,
+            rejected_for_memory=self._clients.rejected_for_memory,
+            request_memory_bytes=self._clients.request_memory.used_bytes,
+            buffer_memory_bytes=self._clients.buffer_memory.used_bytes,
+            memory_mb=resident_memory_mb(),
+            waiting_connections=len(self._clients.turns),
             evicted_connections=self._clients.evicted_connections,
             discovery_responses_rejected=self._discovery.rejected_responses,
             cpu_seconds=round(time.process_time(), 2),
@@ -72,6 +81,15 @@
         self._workers.attempt_outcomes.clear()
 
 
+def resident_memory_mb() -> int:
+    """Return the resident size of this process in MB, 0 if the system doesn't tell it."""
+    try:
+        pages = int(Path("/proc/self/statm").read_text().split()[1])
+    except (OSError, ValueError, IndexError):
+        return 0
+    return pages * os.sysconf("SC_PAGE_SIZE") // BYTES_PER_MB
+
+
 def _by_worker_and_outcome(item: tuple[tuple[str, Outcome], int]) -> tuple[str, str]:
     (worker, outcome), _ = item
     return worker, outcome.value
--- a/packages/node/tests/test_message_scanner.py
+++ b/packages/node/tests/test_message_scanner.py
@@ -45,7 +45,7 @@
 
 def test_message_of_short_elements_in_pieces_is_looked_at_once() -> None:
     """Parsing again from the first byte at each piece took seconds for a few hundred such clients."""
-    data = msgpack.packb([0, 1, "valuation", [[1] * 4_000] * 5])
+    data = msgpack.packb([0, 1, "valuation", [[300] * 1_300] * 5])
     CountingBytes.lookups = 0
     scanner = MessageScanner()
     for size in range(1, len(data), 100):
--- a/packages/testsupport/src/walnutpost/testsupport/node/abusive_client.py
+++ b/packages/testsupport/src/walnutpost/testsupport/node/abusive_client.py
@@ -119,7 +119,7 @@
         """Return a sound request, for a new function unless one is given; `fields` replace fields of it."""
         self._last_id += 1
         self.messages_written += 1
-        unique = f"{self._chance.getrandbits(32):08x}{self._last_id:08x}"
+        unique = f"f{self._chance.getrandbits(28):07x}{self._last_id:08x}"
         sound = {"rid": unique, "budget": "1000", "obj": function or unique}
         return msgpack.packb([0, message_id, "valuation", [{**sound, **fields}, body]])  # type: ignore[no-any-return]
 
--- a/packages/testsupport/src/walnutpost/testsupport/node/usual_load.py
+++ b/packages/testsupport/src/walnutpost/testsupport/node/usual_load.py
@@ -148,7 +148,7 @@
                 self._send(connection, number)
 
     def _send(self, connection: _Connection, number: int) -> None:
-        request_id = f"{self._chance.getrandbits(32):08x}{number:08x}"
+        request_id = f"0{self._chance.getrandbits(28):07x}{number:08x}"  # abusive ones begin with f
         fields = {
             "rid": request_id,
             "budget": str(self._budget_us // MILLISECOND_US),
