Policy: idle functions and timers of cancelled requests are bounded

Change: beyond 1,024 idle functions those whose last call is longest ago are forgotten with their timers; functions with copies, requests or orders stay. Timers.cancel takes a timer out, and the heap is made anew when most of it is out of date.

--- a/packages/policy/src/walnutpost/policy/functions.py
+++ b/packages/policy/src/walnutpost/policy/functions.py
@@ -1,11 +1,14 @@
 """The state of a function: its copies, attempts in flight, queued requests and load orders."""
 
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from walnutpost.policy.rates import CALL_RATE_KEEP_ALIVES, DecayingRate
 from walnutpost.policy.workers import Worker
 
+MAX_IDLE_FUNCTIONS = 1024  # clients may invent names faster than idle functions are forgotten
+
 
 @dataclass(slots=True, eq=False)
 class Copy:
@@ -49,21 +52,35 @@
 
 
 class FunctionTable:
-    """The functions in use, by key."""
+    """The functions in use, by key, and a bounded number of idle ones."""
 
-    __slots__ = ("_time_constant_us", "by_key")
+    __slots__ = ("_cleanup_size", "_on_forgotten", "_time_constant_us", "by_key")
 
-    def __init__(self, keep_alive_us: int) -> None:
+    def __init__(self, keep_alive_us: int, on_forgotten: Callable[[int], None]) -> None:
+        """`on_forgotten` gets the key of each idle function that is dropped because there are too many."""
         self._time_constant_us = CALL_RATE_KEEP_ALIVES * keep_alive_us
+        self._on_forgotten = on_forgotten
+        self._cleanup_size = 2 * MAX_IDLE_FUNCTIONS
         self.by_key: dict[int, Function] = {}
 
     def get_or_create(self, key: int) -> Function:
         """Return the function's state; create it if it is new."""
         function = self.by_key.get(key)
         if function is None:
+            if len(self.by_key) >= self._cleanup_size:
+                self._forget_idle()
             function = self.by_key[key] = Function(key, DecayingRate(self._time_constant_us))
         return function
 
+    def _forget_idle(self) -> None:
+        """Drop the idle functions beyond MAX_IDLE_FUNCTIONS whose last calls are longest ago."""
+        idle = [function for function in self.by_key.values() if function.is_idle()]
+        idle.sort(key=lambda function: function.calls.updated_us)
+        for function in idle[:-MAX_IDLE_FUNCTIONS]:
+            del self.by_key[function.key]
+            self._on_forgotten(function.key)
+        self._cleanup_size = len(self.by_key) + MAX_IDLE_FUNCTIONS
+
     def forget_worker(self, worker_id: int) -> None:
         """Drop the back-off and miss times of a worker that has left the list for good."""
         for function in self.by_key.values():
--- a/packages/policy/src/walnutpost/policy/router.py
+++ b/packages/policy/src/walnutpost/policy/router.py
@@ -40,7 +40,7 @@
         self.timers = timers = Timers(context)
         self.traffic = traffic = TrafficRates(context.keep_alive_us, context.objective_us)
         self.endpoints = endpoints = Endpoints(context)
-        self.functions = functions = FunctionTable(context.keep_alive_us)
+        self.functions = functions = FunctionTable(context.keep_alive_us, self._on_function_forgotten)
         self.requests = requests = OpenRequests(context)
         self.load_orders = orders = LoadOrders(context, LoadOrderLimit(settings))
         self.outliers = outliers = OutlierDetection(context, endpoints)
@@ -161,6 +161,7 @@
     def _on_request_cancelled(self, event: api.RequestCancelled) -> None:
         request = self.requests.by_id.get(event.request)
         if request is not None:
+            self.timers.cancel(TimerKind.REQUEST_DEADLINE, request.id)
             request.earliest_arrival_us = None  # clients may send and cancel requests by the hundreds
             self.requests.close(request)
 
@@ -183,6 +184,10 @@
     def _on_watch_endpoints(self, _: int) -> None:
         self.context.actions.append(api.WatchEndpoints(True))
 
+    def _on_function_forgotten(self, key: int) -> None:
+        self.timers.cancel(TimerKind.REFRESH_COPIES, key)
+        self.timers.cancel(TimerKind.RELEASE_QUEUED, key)
+
     def _on_refresh_copies(self, key: int) -> None:
         function = self.functions.by_key.get(key)
         if function is not None:
--- a/packages/policy/src/walnutpost/policy/timers.py
+++ b/packages/policy/src/walnutpost/policy/timers.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Iterator
 from enum import IntEnum
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 
 from walnutpost import interface as api
 from walnutpost.policy.context import DecisionContext
 
+MAX_CANCELLED = 1024  # entries of the heap that may be out of date, besides as many as are not
 TIMER_TOKEN = 1  # always the same, because only one timer is armed at a time
 
 
@@ -42,6 +43,13 @@
             self._due_us[kind, subject] = due_us
             heappush(self.queue, (due_us, kind, subject))
 
+    def cancel(self, kind: TimerKind, subject: int) -> None:
+        """Cancel a timer, if there is one. Its entry leaves the heap later, when enough are out of date."""
+        self._due_us.pop((kind, subject), None)
+        if len(self.queue) > 2 * len(self._due_us) + MAX_CANCELLED:
+            self.queue = [(due_us, *key) for key, due_us in self._due_us.items()]
+            heapify(self.queue)
+
     def pop_due(self) -> Iterator[tuple[TimerKind, int]]:
         """Remove and yield the timers that are due; drop those that an earlier time has replaced."""
         now_us = self._context.now_us
