Node: clients that cost much processor time wait in turns; accepts and evictions are paced

Cause: whoever sent most got most of the time: each readable connection was read at once, whatever it had cost before; up to 2,048 connections were accepted in one round of the event loop; above the limit of connections each accept sorted all of them to close one. New connections wait behind those that wait already. At most 32 are accepted in a round (Loop.wait_for_next_round), and up to 16 that never sent a message are evicted at once. Memory is looked for at most every 10 ms.

--- a/packages/eventloop/src/walnutpost/eventloop/loop.py
+++ b/packages/eventloop/src/walnutpost/eventloop/loop.py
@@ -105,6 +105,12 @@
         finally:
             timer.cancel()
 
+    def wait_for_next_round(self) -> None:
+        """Wait until the sockets have been polled again; `yield_now` may return before."""
+        task, token = self.begin_wait()
+        self.call_soon(lambda: self.wake(task, token))
+        self.park()
+
     def timeout(self, timeout_us: int) -> TimeoutScope:
         """Return a context manager that raises WaitTimeoutError from a wait in its block after `timeout_us`.
 
--- a/packages/node/src/walnutpost/node/client_connection.py
+++ b/packages/node/src/walnutpost/node/client_connection.py
@@ -18,6 +18,7 @@
 from walnutpost.node.client_output import ClientOutput
 from walnutpost.node.client_requests import NOT_PROCESSED_REASON, ClientRequests
 from walnutpost.node.memory_budget import MemoryShare
+from walnutpost.node.processor_share import ProcessorShare
 
 MESSAGE_TIMEOUT_US = 2_000_000  # an idle connection without a complete message is closed after this
 MAX_REJECTED_BEFORE_PAUSE = 8  # rejected messages on one connection, after which it is read more slowly
@@ -26,7 +27,6 @@
 LINGER_TIMEOUT_US = 500_000  # for a client to read its answers while its further input is discarded
 HALF_CLOSED_TIMEOUT_US = 3_000_000  # for a client that has shut down its sending side to read its answers
 MAX_PRESENCE_AGE_US = 50_000  # how long a client is assumed to be still there; at most 100 ms are allowed
-MIN_RECLAIM_AGE_US = 100_000  # an incomplete message or an unread answer is part of the usual traffic so long
 OVERFLOW_REASON = "more input is waiting than a connection may have"
 
 
@@ -57,6 +57,7 @@
         self._output = ClientOutput(self._loop, stream, self._buffer_memory, self._on_flushed, self.close)
         self._requests = ClientRequests(context, self._input, self._output, self.read_ahead, arrived_after_us)
         self._opened_us = self._loop.now()
+        self._processor_share = ProcessorShare(self._opened_us)
         self._is_paused_until_flush = False
         self._is_waiting_for_turn = False
         self._has_overflowed = False  # too much input to find out whether the client is still there
@@ -133,8 +134,12 @@
         The loop reports an unexpected error, which affects at most this connection; requests that arrived
         before it are still answered.
         """
+        started_us = self._loop.now()
         was_discarding = self._input.is_discarding
-        if self._loop.run_guarded("client", self._read):
+        has_succeeded = self._loop.run_guarded("client", self._read)
+        now_us = self._loop.now()
+        self._processor_share.charge(now_us, now_us - started_us)
+        if has_succeeded:
             return
         if was_discarding:
             self.close()
@@ -143,6 +148,19 @@
             self._watch_readable()
             self.close_if_done()
 
+    def read_new(self) -> None:
+        """Read a connection that was just accepted, after those that wait already."""
+        if len(self._context.turns):
+            self._wait_for_turn()
+        else:
+            self.read()
+
+    def _on_readable(self) -> None:
+        if self._processor_share.is_exceeded(self._loop.now()):
+            self._wait_for_turn()
+        else:
+            self.read()
+
     def take_turn(self) -> None:
         """Process more of the input, after waiting for a turn."""
         self._is_waiting_for_turn = False
@@ -183,14 +201,14 @@
         if self._input.has_partial and not self._buffer_memory.may_grow(0):
             self._context.reclaim_memory()
 
-    def reclaimable_since_us(self, now_us: int) -> int | None:
-        """Return since when the connection holds memory of which its client makes no use; None if it doesn't.
+    @property
+    def unused_memory_since_us(self) -> int | None:
+        """Since when the connection holds memory of which its client makes no use; None if it doesn't.
 
         That is the memory of an incomplete message, or of answers that the client doesn't read.
         """
-        since_us = [each for each in (self._input.partial_since_us, self._output.stalled_since_us) if each]
-        oldest_us = min(since_us, default=now_us)
-        return oldest_us if now_us - oldest_us >= MIN_RECLAIM_AGE_US else None
+        since_us = (self._input.partial_since_us, self._output.stalled_since_us)
+        return min((each for each in since_us if each is not None), default=None)
 
     def reclaim_memory(self) -> None:
         """Close the connection if its client reads no answers; else discard its incomplete message."""
@@ -247,7 +265,7 @@
 
     def _watch_readable(self) -> None:
         if not self._stream.closed:
-            self._stream.on_readable(self.read)
+            self._stream.on_readable(self._on_readable)
 
     def _on_flushed(self) -> None:
         """Continue after all answers have been sent."""
--- a/packages/node/src/walnutpost/node/clients.py
+++ b/packages/node/src/walnutpost/node/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from enum import IntEnum
 from functools import partial
 
 from walnutpost import interface as api
@@ -14,6 +15,10 @@
 from walnutpost.node.memory_budget import MemoryBudget
 from walnutpost.node.open_requests import OpenRequests
 
+MAX_ACCEPTS_PER_ROUND = 32  # other connections get their turns in between
+MAX_EVICTIONS = 16  # at once, of connections that never sent a message
+MIN_RECLAIM_AGE_US = 100_000  # an incomplete message or an unread answer is part of the usual traffic so long
+RECLAIM_INTERVAL_US = 10_000
 SWEEP_INTERVAL_US = 250_000
 NEW_CONNECTION_GRACE_US = 300_000  # during which a new connection may be about to send its first message
 
@@ -55,6 +60,7 @@
         self.malformed_connections = 0
         self.overflowed_connections = 0
         self.reclaimed_connections = 0
+        self._reclaimed_us = 0
         self.rejected_for_memory = 0
         self.evicted_connections = 0
         # Connections in the listener's queue arrived after this time; None while the listener is watched and
@@ -73,7 +79,9 @@
         listener.on_accept_error = on_error
         try:
             while not listener.closed:
-                self._accept_one(listener)
+                for _ in range(MAX_ACCEPTS_PER_ROUND):
+                    self._accept_one(listener)
+                self.loop.wait_for_next_round()
         finally:
             self._mark_backlog()
 
@@ -113,26 +121,35 @@
             arrived_after_us = self.loop.arrived_after()
         connection = ClientConnection(self, stream, arrived_after_us, self._on_closed)
         self.connections[connection] = None
-        connection.read()
+        connection.read_new()
 
     def _on_closed(self, connection: ClientConnection) -> None:
         self.connections.pop(connection, None)
 
     def evict(self) -> bool:
-        """Close one idle connection; return False if there is none.
+        """Close idle connections, at least one; return False if there is none.
 
-        The order of preference is: the oldest connection that never sent a complete message, the connection
+        The order of preference is: the oldest connections that never sent a complete message, the connection
         that has been idle longest, a new connection, and a lingering connection, whose client may still be
-        reading its answers.
+        reading its answers. Of the first kind several are closed at once, because looking for them takes
+        time for each connection, and an abusive client may open many.
         """
-        idle = [connection for connection in self.connections if connection.is_idle]
-        idle.sort(key=partial(_eviction_order, now_us=self.loop.now()))
-        is_evicted = any(connection.close_if_idle() for connection in idle)
-        if is_evicted:
-            self.evicted_connections += 1
-        else:
+        now_us = self.loop.now()
+        idle = [
+            (_eviction_order(connection, now_us), connection)
+            for connection in self.connections
+            if connection.is_idle
+        ]
+        idle.sort(key=lambda candidate: candidate[0])
+        evicted = 0
+        for (rank, _), connection in idle:
+            if evicted >= (MAX_EVICTIONS if rank == EvictionRank.SILENT else 1):
+                break
+            evicted += connection.close_if_idle()
+        self.evicted_connections += evicted
+        if not evicted:
             self._mark_backlog()  # the listener may have called this, and then waits for a file descriptor
-        return is_evicted
+        return evicted > 0
 
     @property
     def may_open_request(self) -> bool:
@@ -145,10 +162,14 @@
         Those that hold it longest come first.
         """
         now_us = self.loop.now()
+        if now_us - self._reclaimed_us < RECLAIM_INTERVAL_US:
+            return
+        self._reclaimed_us = now_us
+        min_age_us = MIN_RECLAIM_AGE_US if self.buffer_memory.free_bytes > 0 else 0
         candidates = [
             (since_us, connection)
             for connection in self.connections
-            if (since_us := connection.reclaimable_since_us(now_us)) is not None
+            if (since_us := connection.unused_memory_since_us) is not None and now_us - since_us >= min_age_us
         ]
         candidates.sort(key=lambda candidate: candidate[0])
         for _, connection in candidates:
@@ -171,14 +192,23 @@
             connection.close_if_done()
 
 
-def _eviction_order(connection: ClientConnection, now_us: int) -> tuple[int, int]:
-    """Return the sort key of an idle connection; the lowest is evicted first."""
+class EvictionRank(IntEnum):
+    """Kinds of idle connections; the lowest are evicted first."""
+
+    SILENT = 0
+    UNUSED = 1
+    NEW = 2
+    LINGERING = 3
+
+
+def _eviction_order(connection: ClientConnection, now_us: int) -> tuple[EvictionRank, int]:
+    """Return the sort key of an idle connection."""
     if connection.is_lingering:
-        rank = 3
+        rank = EvictionRank.LINGERING
     elif connection.has_valid_message:
-        rank = 1
+        rank = EvictionRank.UNUSED
     elif now_us - connection.last_used_us < NEW_CONNECTION_GRACE_US:
-        rank = 2
+        rank = EvictionRank.NEW
     else:
-        rank = 0
+        rank = EvictionRank.SILENT
     return rank, connection.last_used_us
--- /dev/null
+++ b/packages/node/src/walnutpost/node/processor_share.py
@@ -0,0 +1,25 @@
+"""How much processor time one client connection has used lately, against its share."""
+
+from __future__ import annotations
+
+SHARE_DIVISOR = 50  # a connection may use 1/50 of the time
+MAX_DEBT_US = 20_000  # beyond its share, before it has to wait for turns
+NEW_CONNECTION_CREDIT_US = 2_000  # less than MAX_DEBT_US, because an abusive client may open many
+
+
+class ProcessorShare:
+    """A leaky bucket of processing time, which empties at the connection's share of the time."""
+
+    def __init__(self, now_us: int) -> None:
+        self._debt_us = MAX_DEBT_US - NEW_CONNECTION_CREDIT_US
+        self._updated_us = now_us
+
+    def charge(self, now_us: int, used_us: int) -> None:
+        """Record that processing took `used_us`, and ended now."""
+        repaid_us = (now_us - self._updated_us) // SHARE_DIVISOR
+        self._debt_us = max(0, self._debt_us - repaid_us) + used_us
+        self._updated_us = now_us
+
+    def is_exceeded(self, now_us: int) -> bool:
+        """Return whether the connection has used more than its share, and should wait for a turn."""
+        return self._debt_us - (now_us - self._updated_us) // SHARE_DIVISOR > MAX_DEBT_US
--- a/packages/node/tests/test_client_memory.py
+++ b/packages/node/tests/test_client_memory.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from walnutpost.node.client_connection import MIN_RECLAIM_AGE_US
 from walnutpost.node.client_requests import REQUEST_OVERHEAD_BYTES
+from walnutpost.node.clients import MIN_RECLAIM_AGE_US
 from walnutpost.node.memory_budget import BYTES_PER_MB, MemoryBudget, MemoryShare, client_memory_bytes
 from walnutpost.testsupport.node.client_fixtures import (
     LARGE_BODY,
