Node: a request id that may have run is refused when it comes again; shortage slows no client

Cause: only the ids of open requests were known. Once the client had cancelled, closed or been answered, the same id was taken for a new request, while the first attempt may have run. Change: RecentIds keeps the ids of requests with an attempt for 30 s, 16,384 at most; such a request gets an error (node_stats: repeated_ids). A request that was never attempted may come again, as after a crossed close. A rejection for want of memory no longer counts towards the limits that slow or end its connection: it says nothing about that client.

--- a/packages/node/src/walnutpost/node/client_context.py
+++ b/packages/node/src/walnutpost/node/client_context.py
@@ -31,6 +31,7 @@
     invalid_requests: int
     malformed_connections: int  # connections on which unreadable bytes arrived
     overflowed_connections: int  # ended because more input was waiting than one may have
+    repeated_ids: int  # requests with the id of an earlier one
     rejected_for_memory: int  # requests for which there was no memory, or that were too many
 
     @property
--- a/packages/node/src/walnutpost/node/client_requests.py
+++ b/packages/node/src/walnutpost/node/client_requests.py
@@ -171,25 +171,31 @@
             return f"message id: found {call.message_id}, wanted {FIRST_MESSAGE_ID} first"
         if call.request_id.encode() in self._context.requests.request_ids:
             return "rid: this request is open already"
+        if self._context.requests.was_attempted_before(call.request_id.encode()):
+            self._context.repeated_ids += 1
+            return f"rid: found {call.request_id}, which an earlier request had"
         return ""
 
     def _open_or_reject(self, call: rpc.CallRequest) -> None:
-        is_overloaded = self._is_overloaded(REQUEST_OVERHEAD_BYTES + len(call.body))
-        if is_overloaded or self._input.has_ended:
-            self.rejected += is_overloaded
+        exceeds_own_limits = self._exceeds_own_limits()
+        lacks_memory = not self._may_open(REQUEST_OVERHEAD_BYTES + len(call.body))
+        if exceeds_own_limits or lacks_memory or self._input.has_ended:
+            self.rejected += exceeds_own_limits  # a client isn't slowed down for what others do
+            self._context.rejected_for_memory += lacks_memory
             self._output.write(rpc.encode_overloaded(call.message_id))
         else:
             self.has_valid_message = True
             self._open(call)
 
-    def _is_overloaded(self, request_bytes: int) -> bool:
-        """Return whether this connection currently accepts no request that takes so much memory."""
-        if not self._memory.may_grow(request_bytes) or not self._context.may_open_request:
-            self._context.rejected_for_memory += 1
-            return True
+    def _exceeds_own_limits(self) -> bool:
+        """Return whether this connection currently accepts no more requests."""
         is_full = len(self.open) >= MAX_OPEN_REQUESTS
         return is_full or self._output.is_above_high_water or self._context.is_draining
 
+    def _may_open(self, request_bytes: int) -> bool:
+        """Return whether the node may open another request, which takes so much memory."""
+        return self._memory.may_grow(request_bytes) and self._context.may_open_request
+
     def _skip_cancelled(self, message_id: int) -> None:
         """Ignore a request that was cancelled before it arrived; nobody waits for an answer."""
         del self._cancelled_ahead[message_id]
--- a/packages/node/src/walnutpost/node/clients.py
+++ b/packages/node/src/walnutpost/node/clients.py
@@ -62,6 +62,7 @@
         self.reclaimed_connections = 0
         self._reclaimed_us = 0
         self.rejected_for_memory = 0
+        self.repeated_ids = 0
         self.evicted_connections = 0
         # Connections in the listener's queue arrived after this time; None while the listener is watched and
         # its queue was last seen empty.
--- a/packages/node/src/walnutpost/node/node.py
+++ b/packages/node/src/walnutpost/node/node.py
@@ -45,7 +45,7 @@
             DRAIN_PERIOD_US + min(max_deadline_us, MAX_SIGKILL_DELAY_US) - SIGKILL_MARGIN_US
         )
         self.pool = WorkerPool(loop, _worker_limits(config))
-        requests = OpenRequests()
+        requests = OpenRequests(loop.now)
         self.workers = WorkerCommands(loop, self.pool, requests)
         self.dispatcher = Dispatcher(loop, gateway, self.workers, log)
         self.clients = Clients(
--- a/packages/node/src/walnutpost/node/open_requests.py
+++ b/packages/node/src/walnutpost/node/open_requests.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from walnutpost.node.recent_ids import RecentIds
+
 
 class RequestIdentity(NamedTuple):
     """The fields of a request that are forwarded to a worker, as the client sent them."""
@@ -23,7 +25,10 @@
     `request_ids` contains the ids of the requests for which an attempt may still start.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, now: Callable[[], int]) -> None:
+        """`now` returns the time in microseconds."""
+        self._now = now
+        self._recent_ids = RecentIds()  # of requests with an attempt
         self.identities: dict[int, RequestIdentity] = {}
         self.request_ids: set[bytes] = set()
         self._read_ahead_callbacks: dict[int, Callable[[], None]] = {}  # by caller id
@@ -58,12 +63,17 @@
         identity = self.identities.get(caller_id)
         if identity is not None:
             self._attempted.add(caller_id)
+            self._recent_ids.add(self._now(), identity.request_id)
         return identity
 
     def call_at_end(self, caller_id: int, callback: Callable[[], None]) -> None:
         """Call `callback` when the request ends at this node: it was answered, or nobody waits any more."""
         self._end_callbacks.setdefault(caller_id, []).append(callback)
 
+    def was_attempted_before(self, request_id: bytes) -> bool:
+        """Return whether a request with this id may have run lately, so that another one would run twice."""
+        return self._recent_ids.contains(self._now(), request_id)
+
     def was_attempted(self, caller_id: int) -> bool:
         """Return whether an attempt was started for the request, so that it may have run."""
         return caller_id in self._attempted
--- a/packages/node/src/walnutpost/node/stats.py
+++ b/packages/node/src/walnutpost/node/stats.py
@@ -65,6 +65,7 @@
             overflowed_connections=self._clients.overflowed_connections,
             reclaimed_connections=self._clients.reclaimed_connections,
             rejected_for_memory=self._clients.rejected_for_memory,
+            repeated_ids=self._clients.repeated_ids,
             request_memory_bytes=self._clients.request_memory.used_bytes,
             buffer_memory_bytes=self._clients.buffer_memory.used_bytes,
             memory_mb=resident_memory_mb(),
