--- a/packages/testsupport/src/walnutpost/testsupport/node/abuse_scenario.py
+++ b/packages/testsupport/src/walnutpost/testsupport/node/abuse_scenario.py
@@ -59,7 +59,7 @@
 
     def __init__(self, loop: Loop, name: str, loaded: set[str], runs: dict[bytes, int]) -> None:
         super().__init__(loop, name)
-        self._loaded = loaded
+        self.loaded = loaded
         self._runs = runs
         self.answer = self.execute
 
@@ -69,14 +69,14 @@
         if command[0] == b"SPAWN":
             if _field(command[2], b"path") == UNLOADABLE_FUNCTION:
                 return reply(command[1], b"ERR", b"slots_up=0")
-            self._loaded.add(_field(command[2], b"path"))
+            self.loaded.add(_field(command[2], b"path"))
             return reply(command[1], b"OK", b"slots_up=1")
         if command[0] != b"FN":
             return None
         function = _field(command[2], b"path")
         if function == UNANSWERED_FUNCTION:
             return None
-        if function not in self._loaded:
+        if function not in self.loaded:
             return reply(command[1], b"MISS")
         self._runs[command[1]] = self._runs.get(command[1], 0) + 1
         return reply(command[1], b"OK", b"detail=resident", b"did " + command[3])
@@ -116,7 +116,7 @@
         node.start()
         usual = UsualLoad(loop, node.address, REQUESTS_PER_SECOND, BUDGET_US, seed)
         for worker in workers:
-            worker._loaded.update(usual.functions, {UNANSWERED_FUNCTION})
+            worker.loaded.update(usual.functions, {UNANSWERED_FUNCTION})
         usual.start(CONNECTION_COUNT)
         loop.sleep(QUIET_US)
         abusers.extend(start_abuse(kind, node.address, abuse_s, seed) for kind in kinds)
--- a/packages/testsupport/src/walnutpost/testsupport/node/usual_load.py
+++ b/packages/testsupport/src/walnutpost/testsupport/node/usual_load.py
@@ -27,6 +27,7 @@
     request_class: str
     sent_us: int
     answered_us: int | None = None
+    disconnected_us: int | None = None  # when its connection ended before its answer
     kind: str = "unanswered"  # "served", the name of an error, or "disconnected"
 
 
@@ -115,6 +116,7 @@
             connection.stream.close()
             for request in connection.open.values():
                 request.kind = "disconnected"
+                request.disconnected_us = self._loop.now()
 
     def _read(self, connection: _Connection) -> None:
         unpacker = msgpack.Unpacker()
