--- a/packages/eventloop/src/walnutpost/eventloop/loop.py
+++ b/packages/eventloop/src/walnutpost/eventloop/loop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import deque
 from collections.abc import Callable
 from functools import partial
@@ -60,6 +61,13 @@
         """Return the current time since boot."""
         return self.clock.boot_time()
 
+    def processor_time(self) -> int:
+        """Return the processor time that this thread has used; always 0 with a virtual clock.
+
+        Unlike `now`, it does not advance while the process is stopped or another one has the core.
+        """
+        return 0 if self.clock.is_virtual else time.thread_time_ns() // 1000
+
     def arrived_after(self) -> int:
         """Return a lower bound on the arrival time of the bytes, connections and closes seen in this round.
 
--- a/packages/node/src/walnutpost/node/client_connection.py
+++ b/packages/node/src/walnutpost/node/client_connection.py
@@ -16,7 +16,7 @@
 from walnutpost.node.client_context import ClientContext
 from walnutpost.node.client_input import MAX_PARSED_AT_ONCE, READ_ALL_AFTER_US, ClientInput
 from walnutpost.node.client_output import ClientOutput
-from walnutpost.node.client_requests import NOT_PROCESSED_REASON, ClientRequests
+from walnutpost.node.client_requests import MAX_MESSAGES_PER_TURN, NOT_PROCESSED_REASON, ClientRequests
 from walnutpost.node.memory_budget import MemoryShare
 from walnutpost.node.processor_share import ProcessorShare
 
@@ -96,6 +96,8 @@
             if now_us - self._input.end_read_us >= HALF_CLOSED_TIMEOUT_US:
                 self.close()
             return
+        if self._is_waiting_for_turn:
+            return
         since_us = self._input.partial_since_us if self.has_valid_message else self._opened_us
         if since_us is not None and now_us - since_us >= MESSAGE_TIMEOUT_US and self.is_idle:
             self.close_if_idle()
@@ -110,8 +112,8 @@
         further attempts for cancelled requests, and leaves their cancellation to the later read.
         """
         if self._input.has_unread_older_than(MAX_PRESENCE_AGE_US):
-            self._loop.call_soon(self.read)
-            if not self._loop.run_guarded("client", self._prevent_cancelled_attempts):
+            self._loop.call_soon(self.read_soon)
+            if not self._run_charged(self._prevent_cancelled_attempts):
                 self._input.discard()
 
     def _prevent_cancelled_attempts(self) -> None:
@@ -134,12 +136,8 @@
         The loop reports an unexpected error, which affects at most this connection; requests that arrived
         before it are still answered.
         """
-        started_us = self._loop.now()
         was_discarding = self._input.is_discarding
-        has_succeeded = self._loop.run_guarded("client", self._read)
-        now_us = self._loop.now()
-        self._processor_share.charge(now_us, now_us - started_us)
-        if has_succeeded:
+        if self._run_charged(self._read):
             return
         if was_discarding:
             self.close()
@@ -148,15 +146,9 @@
             self._watch_readable()
             self.close_if_done()
 
-    def read_new(self) -> None:
-        """Read a connection that was just accepted, after those that wait already."""
-        if len(self._context.turns):
-            self._wait_for_turn()
-        else:
-            self.read()
-
-    def _on_readable(self) -> None:
-        if self._processor_share.is_exceeded(self._loop.now()):
+    def read_soon(self) -> None:
+        """Read now if no connection waits and this one is within its share, or else at its turn."""
+        if len(self._context.turns) or self._processor_share.is_exceeded(self._loop.now()):
             self._wait_for_turn()
         else:
             self.read()
@@ -166,6 +158,13 @@
         self._is_waiting_for_turn = False
         self.read()
 
+    def _run_charged(self, callback: Callable[[], object]) -> bool:
+        """Run a callback at the cost of this connection; return False if it raised an unexpected error."""
+        started_us = self._loop.processor_time()
+        has_succeeded = self._loop.run_guarded("client", callback)
+        self._processor_share.charge(self._loop.now(), self._loop.processor_time() - started_us)
+        return has_succeeded
+
     def _read(self) -> None:
         if self._stream.closed:
             return
@@ -185,8 +184,9 @@
             self._schedule_read(self._requests.rejected > rejected_before)
 
     def _receive(self) -> None:
-        """Read more input if all messages that were read are processed, or if it may have waited for long."""
-        if not self._input.queue or self._input.has_unread_older_than(READ_ALL_AFTER_US):
+        """Read more input if this turn could process it, or if it may have waited for long."""
+        has_room = len(self._input.queue) < MAX_MESSAGES_PER_TURN
+        if has_room or self._input.has_unread_older_than(READ_ALL_AFTER_US):
             self._requests.record_received(self._input.receive())
 
     def _process(self) -> None:
@@ -261,11 +261,11 @@
         self._input.mark_paused()
         if not self._is_waiting_for_turn:
             self._is_waiting_for_turn = True
-            self._context.turns.add(self)
+            self._context.turns.add(self, self._processor_share.repaid_at_us(self._loop.now()))
 
     def _watch_readable(self) -> None:
         if not self._stream.closed:
-            self._stream.on_readable(self._on_readable)
+            self._stream.on_readable(self.read_soon)
 
     def _on_flushed(self) -> None:
         """Continue after all answers have been sent."""
@@ -310,7 +310,7 @@
         A request that the kernel has received counts as accepted, and closing the connection would lose it.
         """
         if not self._input.is_discarding and self._input.has_unread():
-            self.read()
+            self.read_soon()
             return False
         self.close()
         return True
--- a/packages/node/src/walnutpost/node/client_requests.py
+++ b/packages/node/src/walnutpost/node/client_requests.py
@@ -17,7 +17,7 @@
 # Requests on one connection that were cancelled before they were processed.
 MAX_CANCELLED_AHEAD = MAX_QUEUED_MESSAGES
 MAX_MESSAGES_PER_TURN = 2 * MAX_OPEN_REQUESTS
-MAX_TURN_US = 1_000  # processing time, after which a connection waits for another turn
+MAX_TURN_US = 1_000  # processor time, after which a connection waits for another turn
 MAX_LOGGED_INVALID = 20  # logged invalid requests, on all connections together
 REQUEST_OVERHEAD_BYTES = 8_000  # memory of an open request and its attempts, without the body
 NO_MESSAGE_ID = -1
@@ -62,7 +62,7 @@
 
         If the connection stops reading because of a message, the requests after it get an error.
         """
-        end_us = self._loop.now() + MAX_TURN_US
+        end_us = self._loop.processor_time() + MAX_TURN_US
         for _ in range(min(len(self._input.queue), MAX_MESSAGES_PER_TURN)):
             queued = self._input.next_message()
             self._arrived_after_us = queued.arrived_after_us
@@ -71,7 +71,7 @@
             except Exception:
                 self.fail_queued(NOT_PROCESSED_REASON)
                 raise
-            if self._input.is_discarding or self._input.is_closed or self._loop.now() >= end_us:
+            if self._input.is_discarding or self._input.is_closed or self._loop.processor_time() >= end_us:
                 return
 
     def stop_reading(self, reason: str) -> None:
--- a/packages/node/src/walnutpost/node/client_turns.py
+++ b/packages/node/src/walnutpost/node/client_turns.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections import deque
-from typing import Protocol
+import itertools
+from heapq import heappop, heappush
+from typing import NamedTuple, Protocol
 
 from walnutpost.eventloop import Loop
 
-MAX_ROUND_US = 5_000  # time per round of the event loop for all waiting connections together
+MAX_ROUND_US = 5_000  # processor time per round of the event loop for all waiting connections together
 
 
 class TurnTaker(Protocol):
@@ -17,26 +18,43 @@
         """Process some input; the connection waits again if it has more."""
 
 
+class _Waiting(NamedTuple):
+    due_us: int
+    number: int  # decides between equal times
+    since_us: int
+    connection: TurnTaker
+
+
 class ClientTurns:
-    """Gives the waiting connections turns in order, for a limited time in each round of the event loop.
+    """Gives the waiting connections turns, for a limited time in each round of the event loop.
 
-    Other clients and the workers' responses are handled in between, however much the waiting ones send.
+    Other clients and the workers' responses are handled in between, however much the waiting ones send. The
+    connection that is due first gets the first turn, also if it is due in the future: a connection that has
+    used much time is due later, but not never.
     """
 
     def __init__(self, loop: Loop) -> None:
         self._loop = loop
-        self._waiting: deque[TurnTaker] = deque()
+        self._waiting: list[_Waiting] = []
+        self._numbers = itertools.count()
+        self._longest_wait_us = 0
         self._is_scheduled = False
 
     def __len__(self) -> int:
         """Return how many connections wait."""
         return len(self._waiting)
 
-    def add(self, connection: TurnTaker) -> None:
+    def add(self, connection: TurnTaker, due_us: int) -> None:
         """Let the connection wait for a turn; it must not wait already."""
-        self._waiting.append(connection)
+        waiting = _Waiting(due_us, next(self._numbers), self._loop.now(), connection)
+        heappush(self._waiting, waiting)
         self._schedule()
 
+    def take_longest_wait_us(self) -> int:
+        """Return the longest wait for a turn since the last call."""
+        longest_us, self._longest_wait_us = self._longest_wait_us, 0
+        return longest_us
+
     def _schedule(self) -> None:
         if not self._is_scheduled:
             self._is_scheduled = True
@@ -44,10 +62,12 @@
 
     def _run(self) -> None:
         self._is_scheduled = False
-        end_us = self._loop.now() + MAX_ROUND_US
+        end_us = self._loop.processor_time() + MAX_ROUND_US
         for _ in range(len(self._waiting)):
-            self._loop.run_guarded("client", self._waiting.popleft().take_turn)
-            if self._loop.now() >= end_us:
+            first = heappop(self._waiting)
+            self._longest_wait_us = max(self._longest_wait_us, self._loop.now() - first.since_us)
+            self._loop.run_guarded("client", first.connection.take_turn)
+            if self._loop.processor_time() >= end_us:
                 break
         if self._waiting:
             self._schedule()
--- a/packages/node/src/walnutpost/node/clients.py
+++ b/packages/node/src/walnutpost/node/clients.py
@@ -122,7 +122,7 @@
             arrived_after_us = self.loop.arrived_after()
         connection = ClientConnection(self, stream, arrived_after_us, self._on_closed)
         self.connections[connection] = None
-        connection.read_new()
+        connection.read_soon()
 
     def _on_closed(self, connection: ClientConnection) -> None:
         self.connections.pop(connection, None)
--- a/packages/node/src/walnutpost/node/processor_share.py
+++ b/packages/node/src/walnutpost/node/processor_share.py
@@ -4,6 +4,7 @@
 
 SHARE_DIVISOR = 50  # a connection may use 1/50 of the time
 MAX_DEBT_US = 20_000  # beyond its share, before it has to wait for turns
+MAX_RECORDED_DEBT_US = 40_000  # so that no connection waits for much longer than others that have come later
 NEW_CONNECTION_CREDIT_US = 2_000  # less than MAX_DEBT_US, because an abusive client may open many
 
 
@@ -15,11 +16,17 @@
         self._updated_us = now_us
 
     def charge(self, now_us: int, used_us: int) -> None:
-        """Record that processing took `used_us`, and ended now."""
-        repaid_us = (now_us - self._updated_us) // SHARE_DIVISOR
-        self._debt_us = max(0, self._debt_us - repaid_us) + used_us
+        """Record that processing took `used_us` of processor time, and ended now."""
+        self._debt_us = min(self._debt_at(now_us) + used_us, MAX_RECORDED_DEBT_US)
         self._updated_us = now_us
 
     def is_exceeded(self, now_us: int) -> bool:
         """Return whether the connection has used more than its share, and should wait for a turn."""
-        return self._debt_us - (now_us - self._updated_us) // SHARE_DIVISOR > MAX_DEBT_US
+        return self._debt_at(now_us) > MAX_DEBT_US
+
+    def repaid_at_us(self, now_us: int) -> int:
+        """Return when the time that was used will be made up for by the connection's share."""
+        return now_us + self._debt_at(now_us) * SHARE_DIVISOR
+
+    def _debt_at(self, now_us: int) -> int:
+        return max(0, self._debt_us - (now_us - self._updated_us) // SHARE_DIVISOR)
--- a/packages/node/src/walnutpost/node/stats.py
+++ b/packages/node/src/walnutpost/node/stats.py
@@ -70,6 +70,7 @@
             buffer_memory_bytes=self._clients.buffer_memory.used_bytes,
             memory_mb=resident_memory_mb(),
             waiting_connections=len(self._clients.turns),
+            longest_turn_wait_ms=self._clients.turns.take_longest_wait_us() // 1000,
             evicted_connections=self._clients.evicted_connections,
             discovery_responses_rejected=self._discovery.rejected_responses,
             cpu_seconds=round(time.process_time(), 2),
--- a/packages/node/tests/test_client_fairness.py
+++ b/packages/node/tests/test_client_fairness.py
@@ -35,35 +35,42 @@
     assert not share.is_exceeded(idle_us)
 
 
+class WorkingLoop(Loop):
+    """An event loop whose processor time is advanced by the test."""
+
+    used_us = 0
+
+    def processor_time(self) -> int:
+        return self.used_us
+
+
 class ExpensiveConnection:
     """A connection that always has more input; each turn takes 1 ms."""
 
-    def __init__(self, loop: Loop, turns: ClientTurns) -> None:
+    def __init__(self, loop: WorkingLoop, turns: ClientTurns) -> None:
         self._loop = loop
         self._turns = turns
         self.turn_count = 0
 
     def take_turn(self) -> None:
         self.turn_count += 1
-        clock = self._loop.clock
-        assert isinstance(clock, VirtualClock)
-        clock.advance_to(self._loop.now() + MILLISECOND_US)
-        self._turns.add(self)
+        self._loop.used_us += MILLISECOND_US
+        self._turns.add(self, self._loop.used_us)
 
 
 def test_waiting_connections_share_a_limited_time_of_each_round() -> None:
-    loop = Loop(VirtualClock())
+    loop = WorkingLoop(VirtualClock())
     turns = ClientTurns(loop)
     connections = [ExpensiveConnection(loop, turns) for _ in range(100)]
     rounds_us: list[int] = []
 
     def run() -> None:
         for connection in connections:
-            turns.add(connection)
+            turns.add(connection, 0)
         for _ in range(40):
-            started_us = loop.now()
+            started_us = loop.used_us
             loop.wait_for_next_round()
-            rounds_us.append(loop.now() - started_us)
+            rounds_us.append(loop.used_us - started_us)
 
     loop.run(run)
     assert max(rounds_us) <= MAX_ROUND_US
@@ -71,6 +78,33 @@
     assert max(counts) - min(counts) <= 1
 
 
+class RecordingConnection:
+    """A connection that records its turns."""
+
+    def __init__(self, name: str, order: list[str]) -> None:
+        self._name = name
+        self._order = order
+
+    def take_turn(self) -> None:
+        self._order.append(self._name)
+
+
+def test_connection_that_has_used_the_least_time_gets_the_first_turn() -> None:
+    loop = Loop(VirtualClock())
+    turns = ClientTurns(loop)
+    order: list[str] = []
+
+    def run() -> None:
+        for name, used_us in (("heavy", 60_000), ("usual", 500), ("crowd", 3_000)):
+            share = ProcessorShare(0)
+            share.charge(SECOND_US, used_us)
+            turns.add(RecordingConnection(name, order), share.repaid_at_us(SECOND_US))
+        loop.wait_for_next_round()
+
+    loop.run(run)
+    assert order == ["usual", "crowd", "heavy"]
+
+
 def test_clients_are_served_while_the_backlog_is_accepted() -> None:
     def scenario(harness: NodeHarness) -> None:
         usual = harness.client()
--- a/packages/testsupport/src/walnutpost/testsupport/node/abuse_soak.py
+++ b/packages/testsupport/src/walnutpost/testsupport/node/abuse_soak.py
@@ -40,7 +40,6 @@
 RESTART_DELAY_US = SECOND_US
 MEMORY_LIMITS_MB = (64, 96, 192)
 MAX_STOP_MS = 300
-CORE_PERIOD_US = 20 * MILLISECOND_US
 CORE_SHARES = (1.0, 1.0, 0.4)
 MAX_ABUSE_KINDS = 3
 
@@ -69,14 +68,15 @@
 
 
 def make_plan(chance: random.Random) -> SoakPlan:
-    """Return a random plan."""
+    """Return a random plan. The limit on the core uses the signals that stop the process, too."""
+    core_share = chance.choice(CORE_SHARES)
     return SoakPlan(
         memory_mb=chance.choice(MEMORY_LIMITS_MB),
-        core_share=chance.choice(CORE_SHARES),
+        core_share=core_share,
         kinds=chance.sample(list(AbuseKind), chance.randint(1, MAX_ABUSE_KINDS)),
         ends_by=chance.choice((signal.SIGTERM, signal.SIGTERM, signal.SIGKILL)),
         reload_count=chance.randint(0, 3),
-        stop_count=chance.randint(0, 3),
+        stop_count=chance.randint(0, 3) if core_share == 1 else 0,
         replaced_workers=chance.randint(0, 4),
     )
 
@@ -91,9 +91,9 @@
         self._loop = Loop()
         self._runs: dict[bytes, int] = {}
         self._abusers: list[subprocess.Popen[str]] = []
+        self._helpers: list[subprocess.Popen[bytes]] = []
         self._name_server = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._serial = 1
-        self._is_stopped = False  # by SIGSTOP
         self._terminated_us: int | None = None
         self._ended_us = 0  # when the first process was killed or had ended
         self.result = SoakResult(make_plan(self._chance))
@@ -107,6 +107,9 @@
                 abuser.kill()
                 abuser.communicate()
             self._node.kill()
+            for helper in self._helpers:
+                helper.kill()
+                helper.wait()
             self._name_server.close()
         return self.result
 
@@ -128,7 +131,7 @@
             worker.loaded.update(usual.functions, {UNANSWERED_FUNCTION})
         usual.start(CONNECTION_COUNT)
         if plan.core_share < 1:
-            loop.spawn(self._limit_core, name="core limit")
+            self._start_core_limiter()
         self._schedule_faults()
         loop.sleep(RUN_US)
         self._end_process()
@@ -140,6 +143,11 @@
         self._note_memory()
         self._check(usual)
 
+    def _start_core_limiter(self) -> None:
+        module = "walnutpost.testsupport.node.core_limiter"
+        arguments = [str(self._node.process.pid), str(self.result.plan.core_share)]
+        self._helpers.append(subprocess.Popen([sys.executable, "-m", module, *arguments]))
+
     # Faults
 
     def _schedule_faults(self) -> None:
@@ -166,22 +174,10 @@
             self._node.process.send_signal(number)
 
     def _stop_for(self, duration_us: int) -> None:
-        self._is_stopped = True
         self._signal(signal.SIGSTOP)
         self._loop.sleep(duration_us)
-        self._is_stopped = False
         self._signal(signal.SIGCONT)
 
-    def _limit_core(self) -> None:
-        """Stop the process for a part of each period, as a limit on its processor time does."""
-        running_us = int(CORE_PERIOD_US * self.result.plan.core_share)
-        while True:
-            self._loop.sleep(running_us)
-            self._signal(signal.SIGSTOP)
-            self._loop.sleep(CORE_PERIOD_US - running_us)
-            if not self._is_stopped:
-                self._signal(signal.SIGCONT)
-
     def _replace(self, worker: ExecutingWorker, told_after_us: int) -> None:
         """Let a new, cold worker take the address of this one; the name server tells it later."""
         usual_functions = set(worker.loaded)
