--- a/packages/node/tests/test_abusive_clients.py
+++ b/packages/node/tests/test_abusive_clients.py
@@ -27,6 +27,7 @@
     assert usual.late == 0, usual
     assert usual.answered_twice == 0, usual
     assert result.calls_run_twice == 0, usual
+    assert result.calls_after_departure == 0, result.abuse_report
     assert usual.kinds["served"] >= MIN_SERVED_RATIO * usual.kinds.total(), usual
 
 
@@ -46,3 +47,11 @@
 )
 def test_several_kinds_of_abuse_at_once_harm_no_other_client(tmp_path: Path, kinds: list[AbuseKind]) -> None:
     assert_unharmed(play_abuse(tmp_path, kinds, memory_mb=MEMORY_MB), MEMORY_MB)
+
+
+@pytest.mark.parametrize("leaving", [AbuseKind.RESETS, AbuseKind.CLOSES], ids=lambda kind: kind.value)
+def test_requests_of_clients_that_left_are_not_sent_on_while_others_flood_a_part_of_a_core(
+    tmp_path: Path, leaving: AbuseKind
+) -> None:
+    kinds = [leaving, AbuseKind.MIXED_FLOOD]
+    assert_unharmed(play_abuse(tmp_path, kinds, memory_mb=MEMORY_MB, core_share=0.4), MEMORY_MB)
--- a/packages/testsupport/src/walnutpost/testsupport/node/abuse_scenario.py
+++ b/packages/testsupport/src/walnutpost/testsupport/node/abuse_scenario.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import json
 import subprocess
 import sys
+import time
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -12,6 +14,7 @@
     UNANSWERED_FUNCTION,
     UNLOADABLE_FUNCTION,
     AbuseKind,
+    Departure,
 )
 from walnutpost.testsupport.node.harness import (
     MILLISECOND_US,
@@ -31,6 +34,7 @@
 QUIET_US = SECOND_US  # before the abuse starts
 TAIL_US = 3 * SECOND_US  # after it has ended; longer than the budget
 MAX_SOCKETS = 1024
+MAX_AFTER_DEPARTURE_S = 0.15  # 100 ms, and 50 ms of slack
 PROFILE = {"Aim": 1_000_000, "HardLimit": BUDGET_US, "Importance": 1.0, "LateWorth": 0.3}
 SETTINGS = settings(
     Extra={"KeepAlive": 8_199_999, "OrderLimit": 10_000_000, "FreeLoads": 6.0, "LoadShare": 0.2},
@@ -49,6 +53,7 @@
     peak_memory_mb: float
     memory_after_mb: float
     exit_code: int | None  # None if the process still ran at the end
+    calls_after_departure: int  # that arrived at a worker more than 150 ms after their client had left
     calls_run_twice: int  # of the class whose calls must not run twice
     abuse_report: str
     log: str
@@ -60,6 +65,7 @@
     def __init__(self, loop: Loop, name: str, loaded: set[str], runs: dict[bytes, int]) -> None:
         super().__init__(loop, name)
         self.loaded = loaded
+        self.arrivals: list[tuple[bytes, float]] = []  # ids of abusive calls, and their Unix times
         self._runs = runs
         self.answer = self.execute
 
@@ -74,6 +80,8 @@
         if command[0] != b"FN":
             return None
         function = _field(command[2], b"path")
+        if command[1].startswith(b"f"):
+            self.arrivals.append((command[1], time.time()))
         if function == UNANSWERED_FUNCTION:
             return None
         if function not in self.loaded:
@@ -93,14 +101,34 @@
     )
 
 
+def count_after_departure(workers: list[ExecutingWorker], departures: list[Departure]) -> int:
+    """Return how many calls of clients that had left arrived at the workers too late."""
+    left_at = {
+        number: departure.left_at
+        for departure in departures
+        for number in range(departure.first_id, departure.last_id + 1)
+    }
+    arrivals = [arrival for worker in workers for arrival in worker.arrivals]
+    return sum(
+        arrived_at > left_at.get(int(request_id[8:], 16), arrived_at) + MAX_AFTER_DEPARTURE_S
+        for request_id, arrived_at in arrivals
+    )
+
+
 def play_abuse(
-    folder: Path, kinds: list[AbuseKind], abuse_s: float = 6.0, memory_mb: int = 192, seed: int = 1
+    folder: Path,
+    kinds: list[AbuseKind],
+    abuse_s: float = 6.0,
+    memory_mb: int = 192,
+    core_share: float = 1.0,
+    seed: int = 1,
 ) -> AbuseResult:
     """Play these kinds of abuse at the same time, while usual clients send requests."""
     loop = Loop()
     results: list[AbuseResult] = []
     node_processes: list[NodeProcess] = []
-    abusers: list[subprocess.Popen[str]] = []
+    abusers: list[subprocess.Popen[bytes]] = []
+    limiters: list[subprocess.Popen[bytes]] = []
     runs: dict[bytes, int] = {}
 
     def run() -> None:
@@ -114,12 +142,17 @@
         )
         node_processes.append(node)
         node.start()
+        if core_share < 1:
+            limiters.append(start_core_limiter(node.process.pid, core_share))
         usual = UsualLoad(loop, node.address, REQUESTS_PER_SECOND, BUDGET_US, seed)
         for worker in workers:
             worker.loaded.update(usual.functions, {UNANSWERED_FUNCTION})
         usual.start(CONNECTION_COUNT)
         loop.sleep(QUIET_US)
-        abusers.extend(start_abuse(kind, node.address, abuse_s, seed) for kind in kinds)
+        reports_by_kind = {kind: folder / f"{kind.value}.txt" for kind in kinds}
+        abusers.extend(
+            start_abuse(kind, node.address, abuse_s, seed, report) for kind, report in reports_by_kind.items()
+        )
         loop.sleep(int(abuse_s * SECOND_US))
         usual_sending_until_us = loop.now() + SECOND_US
         while loop.now() < usual_sending_until_us or any(each.poll() is None for each in abusers):
@@ -128,21 +161,21 @@
         loop.sleep(TAIL_US)
         exit_code = node.process.poll()
         is_running = exit_code is None
+        reports = [report.read_text().splitlines() for report in reports_by_kind.values()]
+        departures = [Departure(*each) for report in reports for each in json.loads(report[-1])]
         results.append(
             AbuseResult(
                 usual.result(),
                 node.peak_memory_mb() if is_running else 0.0,
                 node.memory_mb() if is_running else 0.0,
                 exit_code,
+                count_after_departure(workers, departures),
                 sum(
                     runs.get(request.request_id.encode(), 0) > 1
                     for request in usual.requests
                     if request.request_class == UNSAFE_CLASS
                 ),
-                " ".join(
-                    f"{kind.value}: {each.communicate()[0].strip()}"
-                    for kind, each in zip(kinds, abusers, strict=True)
-                ),
+                " ".join(f"{kind.value}: {lines[0]}" for kind, lines in zip(kinds, reports, strict=True)),
                 node.log_path.read_text(),
             )
         )
@@ -150,18 +183,25 @@
     try:
         loop.run(run)
     finally:
-        for abuser in abusers:
-            abuser.kill()
-            abuser.wait()
+        for helper in (*abusers, *limiters):
+            helper.kill()
+            helper.wait()
         for node in node_processes:
             node.kill()
     return results[0]
 
 
 def start_abuse(
-    kind: AbuseKind, address: tuple[str, int], seconds: float, seed: int
-) -> subprocess.Popen[str]:
-    """Start a process that plays one kind of abuse."""
+    kind: AbuseKind, address: tuple[str, int], seconds: float, seed: int, report: Path
+) -> subprocess.Popen[bytes]:
+    """Start a process that plays one kind of abuse, and writes its report to a file."""
     module = "walnutpost.testsupport.node.abusive_client"
     arguments = [kind.value, address[0], str(address[1]), str(seconds), str(seed)]
-    return subprocess.Popen([sys.executable, "-m", module, *arguments], stdout=subprocess.PIPE, text=True)
+    with report.open("wb") as output:
+        return subprocess.Popen([sys.executable, "-m", module, *arguments], stdout=output)
+
+
+def start_core_limiter(pid: int, share: float) -> subprocess.Popen[bytes]:
+    """Start a process that limits another one to a part of a core."""
+    module = "walnutpost.testsupport.node.core_limiter"
+    return subprocess.Popen([sys.executable, "-m", module, str(pid), str(share)])
--- a/packages/testsupport/src/walnutpost/testsupport/node/abuse_soak.py
+++ b/packages/testsupport/src/walnutpost/testsupport/node/abuse_soak.py
@@ -27,6 +27,7 @@
     WORKER_COUNT,
     ExecutingWorker,
     start_abuse,
+    start_core_limiter,
 )
 from walnutpost.testsupport.node.abusive_client import UNANSWERED_FUNCTION, AbuseKind
 from walnutpost.testsupport.node.harness import MILLISECOND_US, SECOND_US, encode_discovery_response
@@ -90,7 +91,6 @@
         self._chance = random.Random(seed)
         self._loop = Loop()
         self._runs: dict[bytes, int] = {}
-        self._abusers: list[subprocess.Popen[str]] = []
         self._helpers: list[subprocess.Popen[bytes]] = []
         self._name_server = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._serial = 1
@@ -103,9 +103,6 @@
         try:
             self._loop.run(self._run)
         finally:
-            for abuser in self._abusers:
-                abuser.kill()
-                abuser.communicate()
             self._node.kill()
             for helper in self._helpers:
                 helper.kill()
@@ -131,7 +128,7 @@
             worker.loaded.update(usual.functions, {UNANSWERED_FUNCTION})
         usual.start(CONNECTION_COUNT)
         if plan.core_share < 1:
-            self._start_core_limiter()
+            self._helpers.append(start_core_limiter(self._node.process.pid, plan.core_share))
         self._schedule_faults()
         loop.sleep(RUN_US)
         self._end_process()
@@ -143,11 +140,6 @@
         self._note_memory()
         self._check(usual)
 
-    def _start_core_limiter(self) -> None:
-        module = "walnutpost.testsupport.node.core_limiter"
-        arguments = [str(self._node.process.pid), str(self.result.plan.core_share)]
-        self._helpers.append(subprocess.Popen([sys.executable, "-m", module, *arguments]))
-
     # Faults
 
     def _schedule_faults(self) -> None:
@@ -167,7 +159,8 @@
             at_random_time(self._replace, worker, chance.randint(0, 1_500) * MILLISECOND_US)
 
     def _start_abuse(self, kind: AbuseKind, seconds: float) -> None:
-        self._abusers.append(start_abuse(kind, self._node.address, seconds, self._seed))
+        report = self._folder / f"{kind.value}.txt"
+        self._helpers.append(start_abuse(kind, self._node.address, seconds, self._seed, report))
 
     def _signal(self, number: signal.Signals) -> None:
         if self._node.process.poll() is None:
--- a/packages/testsupport/src/walnutpost/testsupport/node/abusive_client.py
+++ b/packages/testsupport/src/walnutpost/testsupport/node/abusive_client.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 import select
 import socket
@@ -15,6 +16,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 import msgpack
 
@@ -29,6 +31,7 @@
 CONNECT_TIMEOUT_S = 5.0
 IDLE_POLL_MS = 5
 UNANSWERED_FUNCTION = "dead00000000beef"  # the workers of the tests never answer calls of it
+LOADED_FUNCTION = f"{0x1000:016x}"  # one of the usual clients
 UNLOADABLE_FUNCTION = "dead00000000cafe"  # no worker of the tests ever loads it, so its calls wait
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -55,6 +58,7 @@
     HALF_REQUESTS = "half_requests"  # a crowd that stops in the middle of large requests
     SLOW_WRITERS = "slow_writers"  # a crowd that writes large requests slowly
     RESETS = "resets"  # 32 requests on a new connection, then a reset
+    CLOSES = "closes"  # the same with an orderly close
     SILENT_CROWD = "silent_crowd"
 
 
@@ -89,6 +93,14 @@
             self.has_ended = True
 
 
+class Departure(NamedTuple):
+    """The requests of a client that has left, by the numbers in their ids, and the Unix time when it did."""
+
+    first_id: int
+    last_id: int
+    left_at: float
+
+
 class AbusiveClient:
     """Plays one kind of abuse until its time is up; replaces connections that the node ends."""
 
@@ -97,6 +109,7 @@
         self._ends_at = time.monotonic() + seconds
         self._chance = chance
         self._last_id = 0
+        self.departures: list[Departure] = []
         self.connections_opened = 0
         self.messages_written = 0
 
@@ -203,16 +216,19 @@
         connection.pending += rest
         connection.next_write_at = now + PIECE_INTERVAL_S
 
-    def reset_repeatedly(self) -> None:
-        """Send 32 requests on a new connection, reset it, and start again."""
+    def leave_repeatedly(self, is_reset: bool) -> None:
+        """Send 32 requests on a new connection, leave, and start again."""
         while not self.is_over:
             connection = self.connect()
             if connection is None:
                 continue
-            connection.pending = self.large_requests(UNANSWERED_FUNCTION)
+            first_id = self._last_id + 1
+            connection.pending = self.large_requests(LOADED_FUNCTION)
             connection.write()
-            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            if is_reset:
+                connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             connection.sock.close()
+            self.departures.append(Departure(first_id, self._last_id, time.time()))
 
 
 def wait_for_progress(connections: list[Connection]) -> None:
@@ -265,8 +281,8 @@
             client.crowd(lambda: client.large_requests(UNANSWERED_FUNCTION)[: -(8 << 10)])
         case AbuseKind.SLOW_WRITERS:
             client.crowd(lambda: client.request(1, LARGE_BODY, UNANSWERED_FUNCTION), PIECE_BYTES)
-        case AbuseKind.RESETS:
-            client.reset_repeatedly()
+        case AbuseKind.RESETS | AbuseKind.CLOSES:
+            client.leave_repeatedly(is_reset=kind is AbuseKind.RESETS)
         case AbuseKind.SILENT_CROWD:
             client.crowd(lambda: b"")
 
@@ -277,6 +293,7 @@
     client = AbusiveClient((host, int(port)), float(seconds), random.Random(int(seed)))
     play(AbuseKind(kind), client)
     print(f"connections={client.connections_opened} messages={client.messages_written}")
+    print(json.dumps(client.departures))
 
 
 if __name__ == "__main__":
