Node: a client whose input waited is asked once more for its end; new clients wait longest

Cause: three. Input that is left unread for a turn counted as arrived when the wait began, not when the poll reported it, so nothing was read ahead in time. A close is held back at the sender while the receive buffer is full: the first read that empties the buffer does not show it. New connections came before the usual ones that had used a little more, and connections were accepted beyond their limit if none could be evicted: 1,240 of 512.

--- a/packages/node/src/walnutpost/node/client_connection.py
+++ b/packages/node/src/walnutpost/node/client_connection.py
@@ -60,6 +60,7 @@
         self._processor_share = ProcessorShare(self._opened_us)
         self._is_paused_until_flush = False
         self._is_waiting_for_turn = False
+        self._is_confirming = False  # reads once more, to find out whether the client is still there
         self._has_overflowed = False  # too much input to find out whether the client is still there
         self.is_lingering = False  # the node has shut down its sending side, and the client may still read
 
@@ -152,6 +153,13 @@
             self._watch_readable()
             self.close_if_done()
 
+    def read_first(self) -> None:
+        """Read for the first time: now if no connection waits, or else at its turn."""
+        if len(self._context.turns):
+            self._wait_for_turn()
+        else:
+            self.read()
+
     def read_soon(self) -> None:
         """Read now if no connection waits and this one is within its share, or else at its turn."""
         if len(self._context.turns) or self._processor_share.is_exceeded(self._loop.now()):
@@ -175,6 +183,7 @@
         if self._stream.closed:
             return
         rejected_before = self._requests.rejected
+        self._is_confirming = False
         try:
             self._receive()
         except OSError:
@@ -191,7 +200,7 @@
 
     def _receive(self) -> None:
         """Read more input if this turn could process it, or if it may have waited for long."""
-        has_room = len(self._input.queue) < MAX_MESSAGES_PER_TURN
+        has_room = len(self._input.queue) < MAX_MESSAGES_PER_TURN or self._input.is_unconfirmed
         if has_room or self._input.has_unread_older_than(READ_ALL_AFTER_US):
             self._requests.record_received(self._input.receive())
 
@@ -199,6 +208,9 @@
         if self._has_overflowed:
             self._end_overflowed()
             return
+        self._is_confirming = self._input.may_hide_departure(MAX_PRESENCE_AGE_US)
+        if self._is_confirming:
+            return
         self._requests.process_some()
         if self._input.error and not (self._input.queue or self._input.is_discarding):
             self._context.malformed_connections += 1
@@ -238,7 +250,9 @@
         if was_rejected and self._requests.rejected > MAX_REJECTED and not self._input.is_discarding:
             self._requests.answer_all()  # their cancellations would not be read any more
             self._requests.stop_reading(NOT_PROCESSED_REASON)
-        if self._input.has_unprocessed:
+        if self._is_confirming:
+            self._loop.call_soon(self.read)
+        elif self._input.has_unprocessed:
             self._wait_for_turn()
         else:
             self._watch_readable()
@@ -251,7 +265,7 @@
         Reading never stops while a request is open, because the node would then notice late that the client
         has left.
         """
-        if self.open or self._input.is_discarding:
+        if self.open or self._input.is_discarding or self._is_confirming:
             return False
         if self._output.is_above_high_water:
             self._is_paused_until_flush = True
@@ -264,7 +278,7 @@
         return False
 
     def _wait_for_turn(self) -> None:
-        self._input.mark_paused()
+        self._input.mark_unread()
         if not self._is_waiting_for_turn:
             self._is_waiting_for_turn = True
             self._context.turns.add(self, self.turn_due_us)
--- a/packages/node/src/walnutpost/node/client_input.py
+++ b/packages/node/src/walnutpost/node/client_input.py
@@ -50,6 +50,9 @@
         self.queue: deque[QueuedMessage] = deque()
         self._queued_bytes = 0  # read since the queue was last empty
         self.error: rpc.UnreadableMessageError | None = None  # in the bytes after the queued messages
+        # Whether the last read found bytes. The end of the input may follow them: it is held back at the
+        # sender while the receive buffer is full.
+        self.is_unconfirmed = False
         self.is_discarding = False  # further input is unreadable or too much, and is not parsed
         self.has_ended = False  # the end of the input has arrived, possibly after unread bytes
         self.end_read_us: int | None = None  # when the end of the input was read
@@ -97,11 +100,25 @@
             return False
         return self._parser.may_have_more or self._stream.is_stale()
 
+    def may_hide_departure(self, age_us: int) -> bool:
+        """Return whether queued messages waited longer than `age_us`, and their client may have left since.
+
+        This is not known until another read, in a later round of the event loop, finds no further bytes.
+        """
+        if not (self.queue and self.is_unconfirmed) or self.has_ended or self.is_full:
+            return False
+        return self._loop.now() - self.queue[0].arrived_after_us > age_us
+
     def mark_paused(self) -> None:
         """Record that input arriving from now on may wait before it is read."""
         if self._unread_since_us is None:
             self._unread_since_us = self._loop.now()
 
+    def mark_unread(self) -> None:
+        """Record that input which this round's poll reported is left unread for now."""
+        if self._unread_since_us is None:
+            self._unread_since_us = self._loop.arrived_after()
+
     def discard(self) -> None:
         """Stop parsing, and drop what is queued; the end of the input is still detected."""
         self.is_discarding = True
@@ -155,6 +172,7 @@
         is_new = not self._parser.may_have_more
         if is_new:
             data = self._stream.recv_nowait(rpc.MAX_READ_BYTES)
+            self.is_unconfirmed = bool(data) or bool(received)
         if (data or not is_new) and not self.is_discarding:
             self._queued_bytes += len(data or b"")
             messages, self.error = self._parser.feed(data or b"")
--- a/packages/node/src/walnutpost/node/clients.py
+++ b/packages/node/src/walnutpost/node/clients.py
@@ -63,7 +63,6 @@
         self.overflowed_connections = 0
         self.reclaimed_connections = 0
         self._reclaimed_us = 0
-        self._next_eviction_us = 0
         self.rejected_for_memory = 0
         self.repeated_ids = 0
         self.evicted_connections = 0
@@ -86,9 +85,15 @@
                 for _ in range(MAX_ACCEPTS_PER_ROUND):
                     self._accept_one(listener)
                 self.loop.wait_for_next_round()
+                while self._is_full and not self.evict():
+                    self.loop.sleep(EVICTION_RETRY_US)
         finally:
             self._mark_backlog()
 
+    @property
+    def _is_full(self) -> bool:
+        return len(self.connections) >= self._max_connections
+
     def _accept_one(self, listener: Listener) -> None:
         try:
             stream = listener.accept_now()
@@ -118,15 +123,14 @@
 
     def add_connection(self, stream: Stream) -> None:
         """Add a connection from the listener's queue, and read what has arrived on it."""
-        now_us = self.loop.now()
-        if len(self.connections) >= self._max_connections and now_us >= self._next_eviction_us:
-            self._next_eviction_us = now_us if self.evict() else now_us + EVICTION_RETRY_US
+        if self._is_full:
+            self.evict()
         arrived_after_us = self._backlog_since_us
         if arrived_after_us is None:
             arrived_after_us = self.loop.arrived_after()
         connection = ClientConnection(self, stream, arrived_after_us, self._on_closed)
         self.connections[connection] = None
-        connection.read_soon()
+        connection.read_first()
 
     def _on_closed(self, connection: ClientConnection) -> None:
         self.connections.pop(connection, None)
