--- a/packages/node/tests/test_shutdown_deadline.py
+++ b/packages/node/tests/test_shutdown_deadline.py
@@ -7,11 +7,8 @@
 
 from __future__ import annotations
 
-import os
 import re
 import signal
-import subprocess
-import sys
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -26,10 +23,10 @@
     Client,
     FakeWorker,
     NodeHarness,
-    encode_config,
     run_scenario,
     settings,
 )
+from walnutpost.testsupport.node.node_process import NodeProcess, known_workers
 
 ACCEPT_PERIOD_US = 700 * MILLISECOND_US  # from SIGTERM: requests received until then are answered
 MAX_COUNTED_DEADLINE_US = 3 * SECOND_US  # longer deadlines do not delay SIGKILL any further
@@ -37,7 +34,6 @@
 CONNECTION_COUNT = 6
 START_TIMEOUT_US = 30 * SECOND_US
 DEADLINES_US = [200 * MILLISECOND_US, 500 * MILLISECOND_US, 3 * SECOND_US, 9 * SECOND_US]
-LISTENING = re.compile(r"listening role='node' address=\('127\.0\.0\.1', (\d+)\)")
 STOPPING = re.compile(r"^stopping", re.MULTILINE)
 
 
@@ -127,37 +123,6 @@
     run_scenario(scenario, settings=settings_with_deadline(deadline_us))
 
 
-class NodeProcess:
-    """A node in a separate process, whose workers run in the event loop of the test."""
-
-    def __init__(self, loop: Loop, folder: Path, workers: list[FakeWorker], deadline_us: int) -> None:
-        self._loop = loop
-        self._log_path = folder / "node.log"
-        topology = {"all": True, "rev": 0, "targets": [worker.target for worker in workers]}
-        known = {"offset": 1, "batch": [{"offset": 1, "topology": topology}]}
-        config = folder / "node.json"
-        config.write_bytes(encode_config(known=known, settings=settings_with_deadline(deadline_us)))
-        with self._log_path.open("wb") as out:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "walnutpost.node"],
-                env={**os.environ, "NODE_CONFIG": str(config)},
-                stdout=out,
-                stderr=out,
-            )
-
-    def wait_for_log_line(self, wanted: re.Pattern[str]) -> re.Match[str]:
-        with self._loop.timeout(START_TIMEOUT_US):
-            while (found := wanted.search(self._log_path.read_text())) is None:
-                assert self.process.poll() is None, self._log_path.read_text()
-                self._loop.sleep(2 * MILLISECOND_US)
-        return found
-
-    def wait_for_exit(self) -> int:
-        while (code := self.process.poll()) is None:
-            self._loop.sleep(2 * MILLISECOND_US)
-        return code
-
-
 @pytest.mark.parametrize("deadline_us", DEADLINES_US[:3])
 def test_process_answers_accepted_requests_and_exits_before_sigkill(tmp_path: Path, deadline_us: int) -> None:
     """SIGKILL follows at its earliest time, counted from when the process has logged SIGTERM."""
@@ -172,10 +137,11 @@
         workers = [FakeWorker(loop, f"s-{n}") for n in range(2)]
         for worker in workers:
             worker.answer = answer_every_second_call
-        node = NodeProcess(loop, tmp_path, workers, deadline_us)
+        known = known_workers([worker.target for worker in workers])
+        node = NodeProcess(loop, tmp_path, known=known, settings=settings_with_deadline(deadline_us))
         processes.append(node)
-        address = ("127.0.0.1", int(node.wait_for_log_line(LISTENING)[1]))
-        senders.extend(start_sender(loop, address, deadline_us) for _ in range(CONNECTION_COUNT))
+        node.start()
+        senders.extend(start_sender(loop, node.address, deadline_us) for _ in range(CONNECTION_COUNT))
         with loop.timeout(START_TIMEOUT_US):
             while not all(sender.answered for sender in senders):
                 loop.sleep(SEND_INTERVAL_US)
@@ -193,8 +159,7 @@
         loop.run(run_process)
     finally:
         for node in processes:
-            node.process.kill()
-            node.process.wait()
+            node.kill()
     assert not errors, errors
     assert [sender.unanswered(accepted_until_us[0]) for sender in senders] == [[]] * len(senders)
     assert exit_codes == [0], "the process was killed"
