Node: the backlog of a crowd no longer takes the time for the last answers

Cause: when draining began, all connections of the backlog were accepted in one call, each with an eviction that looks at all others, up to 1,024 of them; the loop stood still for seconds (longest traced request: 2.7 s). Change: connections are accepted from the backlog while the node may have more, or can evict one.

--- a/packages/node/src/walnutpost/node/clients.py
+++ b/packages/node/src/walnutpost/node/clients.py
@@ -107,10 +107,17 @@
         self.loop.run_guarded("client", partial(self.add_connection, stream))
 
     def accept_queued(self, listener: Listener) -> None:
-        """Accept the connections that the kernel has queued; call this before closing the listener."""
+        """Accept the connections that the kernel has queued; call this before closing the listener.
+
+        What is queued while the node has all the connections that it may have is lost: a crowd would take the
+        time that is left for the answers on other connections.
+        """
         # After an error the rest of the queue is lost: answers on other connections can't wait for a retry.
         with suppress(OSError):
-            while (stream := listener.accept_now()) is not None:
+            while not self._is_full or self.evict():
+                stream = listener.accept_now()
+                if stream is None:
+                    break
                 self.loop.run_guarded("client", partial(self.add_connection, stream))
 
     def _mark_backlog(self) -> None:
