Node: input that waited before unreadable bytes is processed; an overflow stays noted

Found on reading the change: after an error in the input nothing more is read, so the question for the client's end behind it was never answered, and the requests before the error never processed. Tests: requests that waited before unreadable bytes are answered; a request that waited is processed after a second read, a fresh one after the first.

--- a/packages/node/src/walnutpost/node/client_connection.py
+++ b/packages/node/src/walnutpost/node/client_connection.py
@@ -133,7 +133,7 @@
             for message in received:
                 if isinstance(message, rpc.Interrupt):
                     self._requests.prevent_attempts(message.message_ids)
-            self._has_overflowed = self._input.is_full and self._input.has_unread()
+            self._has_overflowed |= self._input.is_full and self._input.has_unread()
         if self._input.has_ended or self._has_overflowed:
             self._requests.prevent_attempts(self.open)
 
--- a/packages/node/src/walnutpost/node/client_input.py
+++ b/packages/node/src/walnutpost/node/client_input.py
@@ -105,7 +105,8 @@
 
         This is not known until another read, in a later round of the event loop, finds no further bytes.
         """
-        if not (self.queue and self.is_unconfirmed) or self.has_ended or self.is_full:
+        may_read = not (self.has_ended or self.is_full or self.error)
+        if not (may_read and self.queue and self.is_unconfirmed):
             return False
         return self._loop.now() - self.queue[0].arrived_after_us > age_us
 
--- a/packages/node/tests/test_client_floods.py
+++ b/packages/node/tests/test_client_floods.py
@@ -69,3 +69,47 @@
         assert [flooding.next_answer()[1] for _ in range(check_count)] == list(range(1, check_count + 1))
 
     run_scenario_with_timeout(scenario)
+
+
+def test_requests_that_waited_before_unreadable_bytes_are_answered() -> None:
+    """The node reads no further than these bytes, so it can't look for the client's end behind them."""
+
+    def scenario(harness: NodeHarness) -> None:
+        client = harness.client()
+        warm_up_worker(harness, client)
+        client.send_raw(encode_request(2) + encode_request(3) + b"\xc1")
+        stall_process(harness, 150 * MILLISECOND_US)
+        assert sorted(client.next_answer()[1] for _ in range(2)) == [2, 3]
+        assert client.next_answer() is None
+
+    run_scenario_with_timeout(scenario)
+
+
+@pytest.mark.parametrize(("stall_us", "reads_before"), [(0, 1), (150 * MILLISECOND_US, 2)])
+def test_request_that_waited_is_processed_only_after_another_read(
+    monkeypatch: pytest.MonkeyPatch, stall_us: int, reads_before: int
+) -> None:
+    """The end of the input may follow: it is held back at the client while the receive buffer is full."""
+
+    def scenario(harness: NodeHarness) -> None:
+        client = harness.client()
+        warm_up_worker(harness, client)
+        stream, read_sizes = only_client_connection(harness)._stream, list[int]()
+        recv_nowait = stream.recv_nowait
+
+        def recv_and_count(max_bytes: int) -> bytes | None:
+            data = recv_nowait(max_bytes)
+            read_sizes.append(len(data or b""))
+            return data
+
+        reads_at_submission = list[int]()
+        record_submitted_calls(
+            harness, monkeypatch, before_each=lambda: reads_at_submission.append(len(read_sizes))
+        )
+        monkeypatch.setattr(stream, "recv_nowait", recv_and_count)
+        client.send_raw(encode_request(2))
+        stall_process(harness, stall_us)
+        assert client.next_answer()[2] is None
+        assert reads_at_submission == [reads_before]
+
+    run_scenario_with_timeout(scenario)
