Node: accepts have a limit of time, and the whole backlog is accepted when draining begins

A connection with one small request also counted as full of input when others had used up the memory, and was ended. Change: the backlog is accepted whole again, but without a search for connections to evict once one has found none; several new silent connections are evicted at once; accepting takes at most 2 ms of processor time in a round.

--- a/packages/node/src/walnutpost/node/client_input.py
+++ b/packages/node/src/walnutpost/node/client_input.py
@@ -14,6 +14,7 @@
 READ_ALL_AFTER_US = 20_000  # input that may have waited longer is read completely before it is processed
 MAX_QUEUED_BYTES = 1 << 20  # enough for MAX_OPEN_REQUESTS requests of the maximum size
 MAX_QUEUED_MESSAGES = 8 * MAX_OPEN_REQUESTS
+MIN_HELD_BYTES = rpc.MAX_BODY_BYTES  # that a connection may hold while others have used up the memory
 MAX_PARSED_AT_ONCE = 2 * MAX_OPEN_REQUESTS  # all open requests of a connection, and their cancellations
 
 
@@ -81,7 +82,7 @@
         """Whether the queue has no room, so that nothing more is read until messages are processed."""
         if self._queued_bytes >= MAX_QUEUED_BYTES or len(self.queue) >= MAX_QUEUED_MESSAGES:
             return True
-        return bool(self.queue) and not self._memory.may_grow(rpc.MAX_READ_BYTES)
+        return self._held_bytes >= MIN_HELD_BYTES and not self._memory.may_grow(rpc.MAX_READ_BYTES)
 
     @property
     def unread_since_us(self) -> int:
--- a/packages/node/src/walnutpost/node/clients.py
+++ b/packages/node/src/walnutpost/node/clients.py
@@ -16,6 +16,7 @@
 from walnutpost.node.open_requests import OpenRequests
 
 MAX_ACCEPTS_PER_ROUND = 8  # other connections get their turns in between
+MAX_ACCEPT_US = 2_000  # processor time in a round
 EVICTION_RETRY_US = 10_000  # after no connection could be evicted
 MAX_DRAIN_READ_US = 100_000  # processor time for the last requests, when draining begins
 MAX_EVICTIONS = 16  # at once, of connections that never sent a message
@@ -82,14 +83,20 @@
         listener.on_accept_error = on_error
         try:
             while not listener.closed:
-                for _ in range(MAX_ACCEPTS_PER_ROUND):
-                    self._accept_one(listener)
+                self._accept_some(listener)
                 self.loop.wait_for_next_round()
                 while self._is_full and not self.evict():
                     self.loop.sleep(EVICTION_RETRY_US)
         finally:
             self._mark_backlog()
 
+    def _accept_some(self, listener: Listener) -> None:
+        end_us = self.loop.processor_time() + MAX_ACCEPT_US
+        for _ in range(MAX_ACCEPTS_PER_ROUND):
+            self._accept_one(listener)
+            if self.loop.processor_time() >= end_us:
+                return
+
     @property
     def _is_full(self) -> bool:
         return len(self.connections) >= self._max_connections
@@ -109,16 +116,16 @@
     def accept_queued(self, listener: Listener) -> None:
         """Accept the connections that the kernel has queued; call this before closing the listener.
 
-        What is queued while the node has all the connections that it may have is lost: a crowd would take the
-        time that is left for the answers on other connections.
+        Evictions end with the first that finds nothing to close: looking again for each connection of a crowd
+        would take the time that is left for the answers on other connections.
         """
+        may_evict = True
         # After an error the rest of the queue is lost: answers on other connections can't wait for a retry.
         with suppress(OSError):
-            while not self._is_full or self.evict():
-                stream = listener.accept_now()
-                if stream is None:
-                    break
-                self.loop.run_guarded("client", partial(self.add_connection, stream))
+            while (stream := listener.accept_now()) is not None:
+                if self._is_full and may_evict:
+                    may_evict = self.evict()
+                self.loop.run_guarded("client", partial(self._add, stream))
 
     def _mark_backlog(self) -> None:
         """Record that connections in the queue may have waited since this round's poll.
@@ -132,6 +139,9 @@
         """Add a connection from the listener's queue, and read what has arrived on it."""
         if self._is_full:
             self.evict()
+        self._add(stream)
+
+    def _add(self, stream: Stream) -> None:
         arrived_after_us = self._backlog_since_us
         if arrived_after_us is None:
             arrived_after_us = self.loop.arrived_after()
@@ -159,7 +169,7 @@
         idle.sort(key=lambda candidate: candidate[0])
         evicted = 0
         for (rank, _), connection in idle:
-            if evicted >= (MAX_EVICTIONS if rank == EvictionRank.SILENT else 1):
+            if evicted >= (MAX_EVICTIONS if rank in (EvictionRank.SILENT, EvictionRank.NEW) else 1):
                 break
             evicted += connection.close_if_idle()
         self.evicted_connections += evicted
