Node: answers of a slow name server count until they are 5 s old

Cause: Directory kept the ids of the last 8 queries, one is sent each 100 ms: every answer that took over 0.8 s was rejected ("the response matches no open query"), and the list stood still. Change: a query counts until its age is 5 s, a resolver's usual timeout (OpenQueries). What the count guarded against has guards of its own: answers close their query, forget_queries closes all, ids of the last 5 s are not drawn again, the serial keeps older lists out, 51 ids are held in steady polling and 1,024 at most. RecentIds and OpenQueries share ExpiringIds.

--- a/packages/node/src/walnutpost/node/directory.py
+++ b/packages/node/src/walnutpost/node/directory.py
@@ -2,12 +2,12 @@
 
 No I/O: `Directory` encodes queries and parses responses; `discovery.py` sends and receives them. The list
 never goes back to an older version: a response replaces it only if it is complete, answers an open query, and
-is not older than the current list.
+is not older than the current list. Responses may arrive late and in any order.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -22,10 +22,10 @@
 from walnutpost.gateway import ListedWorker, WorkersListed
 from walnutpost.interface import ListKind, WorkerState
 from walnutpost.node.errors import NodeError
+from walnutpost.node.open_queries import OpenQueries
 
 SERVICE = "_api._tcp.svc.local."
 QUESTION = dns.name.from_text(SERVICE), dns.rdatatype.SRV, dns.rdataclass.IN
-MAX_OPEN_QUERIES = 8  # responses to older queries are ignored
 DNS_HEADER_BYTES = 12
 WORKER_STATE_BY_NAME = {
     "Ready": WorkerState.READY,
@@ -79,10 +79,11 @@
 class Directory:
     """Holds the list of workers, and checks which responses may replace it."""
 
-    def __init__(self, names: TopologyNames) -> None:
+    def __init__(self, names: TopologyNames, now: Callable[[], int]) -> None:
+        """`now` returns the current time in microseconds."""
         self._names = names
         self._endpoints: dict[str, Endpoint] = {}
-        self._open_queries: dict[int, None] = {}
+        self._queries = OpenQueries(now)
         self._last_response = b""  # without its 2-byte id
         self.serial = 0
 
@@ -133,11 +134,13 @@
 
     # Queries and responses
 
+    def may_use_id(self, id: int) -> bool:
+        """Return whether no response to an earlier query can be mistaken for one to a new query."""
+        return not self._queries.is_recent(id)
+
     def new_query(self, id: int) -> bytes:
-        """Register and encode a new query; `id` is a random 16-bit number."""
-        self._open_queries[id] = None
-        while len(self._open_queries) > MAX_OPEN_QUERIES:
-            self._open_queries.pop(next(iter(self._open_queries)))
+        """Register and encode a new query; `id` is a random 16-bit number for which `may_use_id` holds."""
+        self._queries.add(id)
         message = dns.message.make_query(SERVICE, dns.rdatatype.SRV)
         message.id = id
         message.flags = 0
@@ -145,7 +148,7 @@
 
     def forget_queries(self) -> None:
         """Ignore responses to all queries so far, because they went to a former name server."""
-        self._open_queries.clear()
+        self._queries.close_all()
 
     def apply_response(self, data: bytes) -> WorkersListed | None:
         """Return the new list, or None if nothing has changed.
@@ -154,15 +157,15 @@
         query, or is older than the current list.
         """
         id = int.from_bytes(data[:2], "big")
-        if len(data) < DNS_HEADER_BYTES or id not in self._open_queries:
+        if len(data) < DNS_HEADER_BYTES or not self._queries.is_open(id):
             raise EndpointListError("the response matches no open query")
         if data[2:] == self._last_response:
-            del self._open_queries[id]
+            self._queries.close(id)
             return None
         serial, endpoints = self._parse_list(_parse_message(data))
         if serial < self.serial:
             raise EndpointListError(f"list serial {serial} is older than the current serial {self.serial}")
-        del self._open_queries[id]
+        self._queries.close(id)
         self._last_response = data[2:]
         if serial == self.serial and endpoints == self._endpoints:
             return None
--- a/packages/node/src/walnutpost/node/discovery.py
+++ b/packages/node/src/walnutpost/node/discovery.py
@@ -95,7 +95,13 @@
         elif self._sock is not None:
             self.queries += 1
             with suppress(OSError):  # the next interval sends another query
-                self._sock.send(self._directory.new_query(self._random.getrandbits(QUERY_ID_BITS)))
+                self._sock.send(self._directory.new_query(self._draw_id()))
+
+    def _draw_id(self) -> int:
+        """Return a random id that no response to an earlier query can have."""
+        while not self._directory.may_use_id(id := self._random.getrandbits(QUERY_ID_BITS)):
+            pass
+        return id
 
     def _on_readable(self) -> None:
         sock = self._sock
--- a/packages/node/src/walnutpost/node/node.py
+++ b/packages/node/src/walnutpost/node/node.py
@@ -58,7 +58,7 @@
             _client_limits(config),
             log,
         )
-        self.directory = Directory(config.topology_names)
+        self.directory = Directory(config.topology_names, loop.now)
         self._apply_endpoints(self.directory.apply_known_events(config.known_events))
         self.discovery = DiscoveryClient(
             loop, self.directory, config.dns, config.seed, self._apply_endpoints, log
--- a/packages/node/tests/test_node_golden.py
+++ b/packages/node/tests/test_node_golden.py
@@ -91,7 +91,7 @@
 
 
 def make_directory(weighted: bool) -> Directory:
-    return Directory(TopologyNames(("east", "west"), ("std", "large"), weighted))
+    return Directory(TopologyNames(("east", "west"), ("std", "large"), weighted), lambda: 0)
 
 
 def encode_query(query_id: int) -> bytes:
--- a/packages/node/tests/test_node_protocols.py
+++ b/packages/node/tests/test_node_protocols.py
@@ -200,7 +200,7 @@
 
 
 def make_directory() -> Directory:
-    directory = Directory(TOPOLOGY_NAMES)
+    directory = Directory(TOPOLOGY_NAMES, lambda: 0)
     full_event = {
         "all": True,
         "rev": 0,
