--- a/packages/node/tests/test_abandoned_calls.py
+++ b/packages/node/tests/test_abandoned_calls.py
@@ -26,6 +26,7 @@
 )
 from walnutpost.testsupport.node.worker_fixtures import (
     answer_nothing,
+    answer_queries_only,
     limit_to_one_connection,
     non_reading_worker,
     read_remaining_bytes,
@@ -37,11 +38,6 @@
 CALL_ID = 1_000_000
 
 
-def answer_queries_only(command: Command) -> bytes | None:
-    """Answer as a live worker that is still executing its calls."""
-    return None if command[0] == b"FN" else FakeWorker.default_answer(command)
-
-
 def answer_delivery_checks_only(command: Command) -> bytes | None:
     """Answer nothing that the policy asks, which would be another sign of life."""
     return answer_queries_only(command) if command[1].startswith(b"d") else None
--- a/packages/node/tests/test_liveness.py
+++ b/packages/node/tests/test_liveness.py
@@ -14,7 +14,6 @@
     MILLISECOND_US,
     SECOND_US,
     Client,
-    Command,
     DelayedConnections,
     FakeWorker,
     NodeHarness,
@@ -27,6 +26,7 @@
 from walnutpost.testsupport.node.witness import Relay
 from walnutpost.testsupport.node.worker_fixtures import (
     answer_nothing,
+    answer_queries_only,
     limit_to_one_connection,
     send_unanswered_call,
     start_attempt,
@@ -48,11 +48,6 @@
         return {**super().target, "endpoint": "{}:{}".format(*self.relay.address)}
 
 
-def answer_queries_only(command: Command) -> bytes | None:
-    """Answer as a live worker that is still executing its calls."""
-    return None if command[0] == b"FN" else FakeWorker.default_answer(command)
-
-
 def leave_connection_silent(harness: NodeHarness, worker: FakeWorker, client: Client) -> WorkerConnection:
     """Send a call that gets no answer on the worker's only connection, and let time pass."""
     connection = limit_to_one_connection(harness, worker, order_timeout_us=SECOND_US)
--- a/packages/testsupport/src/walnutpost/testsupport/node/worker_fixtures.py
+++ b/packages/testsupport/src/walnutpost/testsupport/node/worker_fixtures.py
@@ -89,6 +89,11 @@
     return None
 
 
+def answer_queries_only(command: Command) -> bytes | None:
+    """Answer as a live worker that is still executing its calls."""
+    return None if command[0] == b"FN" else FakeWorker.default_answer(command)
+
+
 def send_unanswered_call(harness: NodeHarness, worker: FakeWorker, client: Any) -> Command:
     """Send a call to a worker that does not answer; return it once the worker has received it."""
     worker.answer, count_before = answer_nothing, len(worker.calls())
